--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -25,6 +25,7 @@
     RetryPolicy,
     RoutePolicy,
     Contact,
+    RouteTable,
     Count,
 };
 
@@ -139,7 +140,65 @@
     std::string address;
 };
 
-using ObjectSpec = std::variant<ServiceSpec, CallerPolicySpec, OverloadPolicySpec, RetryPolicySpec, RoutePolicySpec, ContactSpec>;
+/// A service among which a route divides its requests.
+struct RouteBackend
+{
+    std::string service;
+    std::uint32_t weight = 1;
+
+    bool operator==(const RouteBackend &) const = default;
+};
+
+/// Requests of one host and path prefix, and where they go.
+struct RouteSpec
+{
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string pathPrefix;
+    std::vector<RouteBackend> backends;
+    /// May run more than once.
+    bool idempotent = false;
+    /// Longest time that a caller is kept waiting.
+    Duration timeout = std::chrono::seconds(2);
+    /// Time within which an answer is worth most.
+    Duration targetLatency = std::chrono::seconds(1);
+    /// 0 is refused last.
+    std::uint32_t priority = 0;
+    /// Upstreams on which one request may run.
+    std::uint32_t maxAttempts = 1;
+
+    /// Class in which overload refuses the route's requests.
+    RequestClass requestClass() const;
+};
+
+/// What a route table states about the backend servers of a service.
+struct RoutedServiceSpec
+{
+    std::string name;
+    std::string healthPath;
+    /// Connections that one backend server accepts.
+    std::uint32_t maxConnections = 256;
+};
+
+/// Bounds on what callers send.
+struct TrafficLimits
+{
+    std::uint64_t maxHeaderBytes = 16384;
+    std::uint64_t maxBodyBytes = 4194304;
+    Duration headerTimeout = std::chrono::seconds(3);
+    Duration idleTimeout = std::chrono::seconds(15);
+};
+
+/// All routes of an installation, in force as one object.
+struct RouteTableSpec
+{
+    std::vector<RouteSpec> routes;
+    std::vector<RoutedServiceSpec> services;
+    TrafficLimits limits;
+};
+
+using ObjectSpec = std::variant<ServiceSpec, CallerPolicySpec, OverloadPolicySpec, RetryPolicySpec, RoutePolicySpec, ContactSpec, RouteTableSpec>;
 
 // --- Objects ---------------------------------------------------------------------------------------------------------
 
@@ -335,6 +394,13 @@
     const RetryPolicySpec &retryPolicyOf(std::string_view service) const;
     const OverloadPolicySpec &overloadPolicyOf(std::string_view service) const;
     const RoutePolicySpec &routePolicyOf(std::string_view service) const;
+    /// Returns whether a route table is in force.
+    bool hasRoutes() const;
+    /// Route of @a host with the longest prefix of @a path, or nothing.
+    const RouteSpec *routeOf(std::string_view host, std::string_view path) const;
+    const RoutedServiceSpec *findRoutedService(std::string_view service) const;
+    /// Limits of the route table, or the defaults.
+    const TrafficLimits &trafficLimits() const;
     std::size_t size() const;
 
 private:
@@ -362,6 +428,7 @@
     const CallerRule *findCallerRule(std::string_view caller) const;
     bool makeRoom(std::uint64_t version);
     void addCallers(std::string_view policyName, const CallerPolicySpec &policy);
+    void addRoutes(const RouteTableSpec &table);
     void rebuildIndexes();
 
     std::map<ObjectKey, InForce> m_objects;
@@ -371,9 +438,29 @@
     std::unordered_map<std::string, ServiceEntry, NameHash, std::equal_to<>> m_services;
     std::unordered_map<std::string, CallerRule, NameHash, std::equal_to<>> m_exactCallers;
     std::vector<CallerRule> m_callerPrefixes;
+    /// Routes by host, longest prefix first.
+    std::unordered_map<std::string, std::vector<const RouteSpec *>, NameHash, std::equal_to<>> m_routes;
+    const RouteTableSpec *m_routeTable = nullptr;
     std::uint64_t m_digest = 0;
 };
 
+/// Divides the requests of each route among its services, so that each gets its share in every stretch of requests.
+class RouteWeights
+{
+public:
+    /// Returns the service for the next request of @a route.
+    const std::string &pick(const RouteSpec &route);
+
+private:
+    /// Credit of each backend of a route, and the backends that it belongs to.
+    struct Credits
+    {
+        std::vector<RouteBackend> backends;
+        std::vector<std::int64_t> credits;
+    };
+    std::unordered_map<std::string, Credits> m_routes;
+};
+
 /// Checks references between @a objects, as a client does before it applies them.
 std::vector<Finding> checkReferences(std::span<const std::shared_ptr<const ConfigObject>> objects);
 
--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -3,7 +3,8 @@
 /// @file
 /// The node process: settings and the object that runs every part of a node on one thread.
 
-#include <chicoryspar/core.h>
+#include <chicoryspar/http.h>
+#include <chicoryspar/store.h>
 
 #include <memory>
 
@@ -15,12 +16,16 @@
     std::string name;
     std::string region;
     std::string zone;
+    /// Service of the backend server on this host, stated to the backend servers that it calls; empty when callers state their names.
+    std::string service;
 
     /// Listening addresses as "address:port"; port 0 takes a free one.
     std::string listenCallers = "127.0.0.1:0";
     std::string listenBackend = "127.0.0.1:0";
     std::string listenPeers = "127.0.0.1:0";
     std::string listenOperators = "127.0.0.1:0";
+    /// Port that only tells whether the node takes new work; empty for none.
+    std::string listenReadiness;
     /// Address that other nodes use; empty for the listening one.
     std::string advertisePeers;
     /// True when only loopback clients of the operators' port may change anything.
@@ -28,6 +33,8 @@
 
     /// Address of the platform's object API as "host:port"; empty for none.
     std::string platformAddress;
+    /// Name of the dialect of store, callers and backend servers.
+    std::string platformDialect = "native";
     /// Peer addresses of nodes for the first contact.
     std::vector<std::string> seeds;
     /// Shared key of all nodes, as raw bytes; empty when peers aren't authenticated.
@@ -55,6 +62,8 @@
 
     /// Longest time that a planned stop waits for calls in flight.
     Duration drainTime = std::chrono::seconds(10);
+    /// How long a planned stop still accepts requests of callers, which need that long to notice it.
+    Duration stopAcceptTime{0};
 
     /// One of log4cplus's level names.
     std::string logLevel = "INFO";
@@ -78,11 +87,18 @@
 /// Reads and checks INI text.
 LoadedSettings parseNodeSettings(const std::string &text, const std::string &place);
 
+/// How an installation speaks on the ports that it shares with nodes.
+struct Dialects
+{
+    std::shared_ptr<const EdgeDialect> edge = nativeEdgeDialect();
+    std::shared_ptr<const StoreDialect> store = nativeStoreDialect();
+};
+
 /// One running node.
 class Node
 {
 public:
-    explicit Node(NodeSettings settings);
+    explicit Node(NodeSettings settings, Dialects dialects = {});
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
--- a/include/chicoryspar/platform.h
+++ b/include/chicoryspar/store.h
@@ -10,7 +10,7 @@
 // --- Errors ----------------------------------------------------------------------------------------------------------
 
 /// How a call to the store failed.
-enum class PlatformError : std::uint8_t {
+enum class StoreError : std::uint8_t {
     None,
     Unreachable,
     TimedOut,
@@ -31,7 +31,7 @@
     Count,
 };
 
-struct PlatformErrorRow
+struct StoreErrorRow
 {
     std::string_view name;
     std::string_view text;
@@ -39,9 +39,9 @@
     bool isUncertain;
 };
 
-const PlatformErrorRow &rowOf(PlatformError value);
-const std::error_category &platformCategory();
-std::error_code make_error_code(PlatformError value);
+const StoreErrorRow &rowOf(StoreError value);
+const std::error_category &storeCategory();
+std::error_code make_error_code(StoreError value);
 
 /// Tells whether a write that ended with @a ec may have taken effect.
 bool isUncertain(std::error_code ec);
@@ -56,7 +56,7 @@
     std::vector<std::string> objects;
 };
 
-enum class PlatformEventKind : std::uint8_t {
+enum class StoreEventKind : std::uint8_t {
     Added,
     Modified,
     Deleted,
@@ -65,18 +65,18 @@
     Count,
 };
 
-struct PlatformEventKindRow
+struct StoreEventKindRow
 {
     std::string_view name;
 };
 
-const PlatformEventKindRow &rowOf(PlatformEventKind value);
-std::optional<PlatformEventKind> findPlatformEventKind(std::string_view name);
+const StoreEventKindRow &rowOf(StoreEventKind value);
+std::optional<StoreEventKind> findStoreEventKind(std::string_view name);
 
 /// One event of a watch.
-struct PlatformEvent
+struct StoreEvent
 {
-    PlatformEventKind kind = PlatformEventKind::Bookmark;
+    StoreEventKind kind = StoreEventKind::Bookmark;
     /// Version of the object, or of a bookmark.
     std::uint64_t version = 0;
     /// Object as JSON.
@@ -99,7 +99,7 @@
     using ListHandler = std::function<void(std::error_code ec, ObjectList list)>;
     /// @a object is the stored object as JSON, empty on errors.
     using ObjectHandler = std::function<void(std::error_code ec, std::string object)>;
-    using EventHandler = std::function<void(PlatformEvent event)>;
+    using EventHandler = std::function<void(StoreEvent event)>;
     using EndHandler = std::function<void(std::error_code ec)>;
 
     virtual ~ObjectStore() = default;
@@ -117,7 +117,60 @@
     virtual void watchObjects(const WatchRequest &request, EventHandler onEvent, EndHandler onEnd) = 0;
 };
 
-struct PlatformClientOptions
+// --- Dialects --------------------------------------------------------------------------------------------------------
+
+/// One page of a list.
+struct ObjectPage
+{
+    ObjectList list;
+    /// Name after which the next page starts; empty on the last one.
+    std::string next;
+};
+
+/// Path and body of a call.
+struct StoreCallText
+{
+    std::string path;
+    std::string body;
+};
+
+/// How a store spells paths, bodies and errors. Objects on this side are JSON in the form of docs/INTERFACES.md.
+class StoreDialect
+{
+public:
+    virtual ~StoreDialect() = default;
+
+    /// Kinds of configuration that the store holds; empty for all.
+    virtual std::vector<ObjectKind> kinds() const = 0;
+    /// Nodes enter themselves in the store as contacts, by which others find them.
+    virtual bool hasDirectory() const = 0;
+
+    /// @param after name after which the page starts; empty for the first
+    virtual std::string listPath(ObjectKind kind, const std::string &after) const = 0;
+    virtual std::string objectPath(ObjectKind kind, const std::string &name) const = 0;
+    virtual std::string watchPath(const WatchRequest &request) const = 0;
+    virtual StoreCallText creation(ObjectKind kind, const std::string &object) const = 0;
+    virtual StoreCallText replacement(ObjectKind kind, const std::string &name, const std::string &object) const = 0;
+    virtual StoreCallText statusReplacement(ObjectKind kind, const std::string &name, const std::string &object) const = 0;
+    virtual StoreCallText removal(ObjectKind kind, const std::string &name, std::uint64_t version) const = 0;
+
+    /// Returns the error that an HTTP status stands for.
+    virtual std::error_code errorOf(int status, const std::string &body) const = 0;
+    virtual std::optional<ObjectPage> readPage(ObjectKind kind, const std::string &body) const = 0;
+    virtual std::optional<std::string> readObject(ObjectKind kind, const std::string &body) const = 0;
+
+    /// A watch answers with one event a line until it ends; otherwise with all events at once, as soon as there is one.
+    virtual bool streamsEvents() const = 0;
+    /// Reads one line of a stream, or the whole answer.
+    virtual std::optional<std::vector<StoreEvent>> readEvents(ObjectKind kind, const std::string &text) const = 0;
+};
+
+/// Returns the dialect of docs/INTERFACES.md.
+std::shared_ptr<const StoreDialect> nativeStoreDialect();
+
+// --- Client ----------------------------------------------------------------------------------------------------------
+
+struct StoreClientOptions
 {
     /// "host:port" of the object API.
     std::string address;
@@ -127,10 +180,11 @@
     /// Calls of this process, on average and at most at once.
     double callsPerSecond = 20;
     double burst = 60;
+    std::shared_ptr<const StoreDialect> dialect = nativeStoreDialect();
 };
 
 /// Creates the HTTP client. Calls in progress are cancelled when it is destroyed.
-std::unique_ptr<ObjectStore> createPlatformClient(PlatformClientOptions options);
+std::unique_ptr<ObjectStore> createStoreClient(StoreClientOptions options);
 
 /// Bounds the threads that the HTTP library starts; has an effect only before its first use.
 void limitHttpThreads();
@@ -206,6 +260,6 @@
 } // namespace chicoryspar
 
 template<>
-struct std::is_error_code_enum<chicoryspar::PlatformError> : std::true_type
+struct std::is_error_code_enum<chicoryspar::StoreError> : std::true_type
 {
 };
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -12,6 +12,8 @@
 {
     NodeId self;
     std::string zone;
+    /// Kinds that the store holds; empty for all that are configuration.
+    std::vector<ObjectKind> kinds;
     /// Members of a zone that watch the store.
     std::size_t watchersPerZone = 2;
     /// How long one watch waits at the store. A connection that went silent is found when it is over.
@@ -156,6 +158,7 @@
     };
 
     KindState &stateOf(ObjectKind kind);
+    bool follows(ObjectKind kind) const;
     bool takeToken(TimePoint now);
     void applyObject(TimePoint now, const ParsedObject &object);
     void applyMissing(TimePoint now, ObjectKind kind, std::uint64_t version, std::span<const ParsedObject> objects);
--- a/src/config/config_sync_store.cpp
+++ b/src/config/config_sync_store.cpp
@@ -35,6 +35,12 @@
     return m_kinds.at(static_cast<std::size_t>(kind));
 }
 
+bool ConfigSync::follows(ObjectKind kind) const
+{
+    const auto &kinds = m_options.kinds;
+    return rowOf(kind).isConfiguration && (kinds.empty() || std::find(kinds.begin(), kinds.end(), kind) != kinds.end());
+}
+
 bool ConfigSync::takeToken(TimePoint now)
 {
     const double refill = static_cast<double>((now - m_tokensAt).count()) / kSecond * m_options.storeCallsPerSecond;
@@ -95,7 +101,7 @@
     std::vector<StoreCall> calls;
     for (std::size_t n = 0; n < m_kinds.size() && now >= m_storeDue; ++n) {
         const auto kind = static_cast<ObjectKind>(n);
-        const auto call = rowOf(kind).isConfiguration ? nextCall(now, kind, m_kinds[n]) : std::nullopt;
+        const auto call = follows(kind) ? nextCall(now, kind, m_kinds[n]) : std::nullopt;
         if (!call || !takeToken(now)) {
             continue;
         }
@@ -141,7 +147,7 @@
     state.resumeVersion = std::max(state.resumeVersion, version);
     state.listDue = now + auditPeriod(random);
     m_isConfigured = m_isConfigured || std::all_of(m_kinds.begin(), m_kinds.end(), [this](const KindState &it) {
-                         return it.isListed || !rowOf(static_cast<ObjectKind>(&it - m_kinds.data())).isConfiguration;
+                         return it.isListed || !follows(static_cast<ObjectKind>(&it - m_kinds.data()));
                      });
     noteDigest(now, digestBefore);
 }
--- a/src/config/kinds.cpp
+++ b/src/config/kinds.cpp
@@ -16,6 +16,7 @@
     {"RetryPolicy", "retrypolicies", true},
     {"RoutePolicy", "routepolicies", true},
     {"Contact", "contacts", false},
+    {"RouteTable", "routetables", true},
 }};
 
 constexpr std::array<ApplyResultRow, static_cast<std::size_t>(ApplyResult::Count)> kResults{{
--- a/src/config/lookup.cpp
+++ b/src/config/lookup.cpp
@@ -11,6 +11,7 @@
 const RetryPolicySpec kDefaultRetryPolicy;
 const OverloadPolicySpec kDefaultOverloadPolicy;
 const RoutePolicySpec kDefaultRoutePolicy;
+const TrafficLimits kDefaultTrafficLimits;
 
 bool matchesVerb(const MethodSpec &method, std::string_view verb)
 {
@@ -45,8 +46,22 @@
     }
 }
 
+void ConfigSet::addRoutes(const RouteTableSpec &table)
+{
+    m_routeTable = &table;
+    for (const auto &it : table.routes) {
+        m_routes[it.host].push_back(&it);
+    }
+    for (auto &[host, routes] : m_routes) {
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](const RouteSpec *a, const RouteSpec *b) { return a->pathPrefix.size() > b->pathPrefix.size(); });
+    }
+}
+
 void ConfigSet::rebuildIndexes()
 {
+    m_routes.clear();
+    m_routeTable = nullptr;
     m_services.clear();
     m_exactCallers.clear();
     m_callerPrefixes.clear();
@@ -67,6 +82,9 @@
         if (const auto *policy = std::get_if<CallerPolicySpec>(&entry.object->spec)) {
             addCallers(key.name, *policy);
         }
+        if (const auto *table = std::get_if<RouteTableSpec>(&entry.object->spec)) {
+            addRoutes(*table);
+        }
     }
     std::stable_sort(m_callerPrefixes.begin(), m_callerPrefixes.end(),
                      [](const CallerRule &a, const CallerRule &b) { return a.text.size() > b.text.size(); });
@@ -118,6 +136,37 @@
     return rule ? std::string_view(rule->policy) : std::string_view();
 }
 
+bool ConfigSet::hasRoutes() const
+{
+    return m_routeTable != nullptr;
+}
+
+const RouteSpec *ConfigSet::routeOf(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_routes.find(host);
+    if (routes == m_routes.end()) {
+        return nullptr;
+    }
+    const auto it = std::find_if(routes->second.begin(), routes->second.end(),
+                                 [path](const RouteSpec *route) { return path.starts_with(route->pathPrefix); });
+    return it == routes->second.end() ? nullptr : *it;
+}
+
+const RoutedServiceSpec *ConfigSet::findRoutedService(std::string_view service) const
+{
+    if (!m_routeTable) {
+        return nullptr;
+    }
+    const auto &services = m_routeTable->services;
+    const auto it = std::find_if(services.begin(), services.end(), [service](const RoutedServiceSpec &row) { return row.name == service; });
+    return it == services.end() ? nullptr : &*it;
+}
+
+const TrafficLimits &ConfigSet::trafficLimits() const
+{
+    return m_routeTable ? m_routeTable->limits : kDefaultTrafficLimits;
+}
+
 const RetryPolicySpec &ConfigSet::retryPolicyOf(std::string_view service) const
 {
     const auto *entry = findServiceEntry(service);
--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -19,6 +19,12 @@
 constexpr std::uint64_t kMaxRefusalStatus = 599;
 constexpr std::size_t kMaxMethods = 256;
 constexpr std::uint64_t kMaxUpstreams = 65535;
+constexpr std::size_t kMaxRoutes = 4096;
+constexpr std::size_t kMaxRouteBackends = 64;
+constexpr std::uint64_t kMaxWeight = 1'000'000;
+constexpr std::uint64_t kMaxPriority = 1000;
+constexpr std::uint64_t kMaxAttempts = 16;
+constexpr std::uint64_t kMaxTransferBytes = 1ULL << 40;
 constexpr std::array<std::string_view, 9> kVerbs{"", "*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
 void readRequestClass(const Json &json, const std::string &place, MethodSpec &method, ObjectFindings &findings)
@@ -108,6 +114,78 @@
     {"address", &ContactSpec::address},
 }};
 
+/// Reads a list of structs by a table of fields.
+template<typename Item, std::size_t kSize>
+std::vector<Item> readItems(const Json &json, const std::string &place, const std::array<Field<Item>, kSize> &fields, std::size_t most,
+                            ObjectFindings &findings)
+{
+    std::vector<Item> items;
+    if (!json.is_array() || json.size() > most) {
+        findings.addFault(place, "must be a list of at most " + std::to_string(most) + " objects");
+        return items;
+    }
+    for (std::size_t n = 0; n < json.size(); ++n) {
+        items.push_back(readFields(json[n], place + "[" + std::to_string(n) + "]", fields, findings));
+    }
+    return items;
+}
+
+constexpr std::array<Field<RouteBackend>, 2> kRouteBackendFields{{
+    {"service", &RouteBackend::service},
+    {"weight", &RouteBackend::weight, 0, kMaxWeight},
+}};
+
+void readRouteBackends(const Json &json, const std::string &place, RouteSpec &spec, ObjectFindings &findings)
+{
+    spec.backends = readItems(json, place, kRouteBackendFields, kMaxRouteBackends, findings);
+}
+
+constexpr std::array<Field<RouteSpec>, 9> kRouteTableRouteFields{{
+    {"name", &RouteSpec::name},
+    {"host", &RouteSpec::host},
+    {"pathPrefix", &RouteSpec::pathPrefix},
+    {"backends", &readRouteBackends},
+    {"idempotent", &RouteSpec::idempotent},
+    {"timeoutMs", &RouteSpec::timeout, 1, kMaxMilliseconds},
+    {"targetLatencyMs", &RouteSpec::targetLatency, 1, kMaxMilliseconds},
+    {"priority", &RouteSpec::priority, 0, kMaxPriority},
+    {"maxAttempts", &RouteSpec::maxAttempts, 1, kMaxAttempts},
+}};
+
+constexpr std::array<Field<RoutedServiceSpec>, 3> kRoutedServiceFields{{
+    {"name", &RoutedServiceSpec::name},
+    {"healthPath", &RoutedServiceSpec::healthPath},
+    {"maxConnections", &RoutedServiceSpec::maxConnections, 1, kMaxConcurrency},
+}};
+
+constexpr std::array<Field<TrafficLimits>, 4> kTrafficLimitFields{{
+    {"maxHeaderBytes", &TrafficLimits::maxHeaderBytes, 1, kMaxTransferBytes},
+    {"maxBodyBytes", &TrafficLimits::maxBodyBytes, 1, kMaxTransferBytes},
+    {"headerTimeoutMs", &TrafficLimits::headerTimeout, 1, kMaxMilliseconds},
+    {"idleTimeoutMs", &TrafficLimits::idleTimeout, 1, kMaxMilliseconds},
+}};
+
+void readRoutes(const Json &json, const std::string &place, RouteTableSpec &spec, ObjectFindings &findings)
+{
+    spec.routes = readItems(json, place, kRouteTableRouteFields, kMaxRoutes, findings);
+}
+
+void readRoutedServices(const Json &json, const std::string &place, RouteTableSpec &spec, ObjectFindings &findings)
+{
+    spec.services = readItems(json, place, kRoutedServiceFields, kMaxRoutes, findings);
+}
+
+void readTrafficLimits(const Json &json, const std::string &place, RouteTableSpec &spec, ObjectFindings &findings)
+{
+    spec.limits = readFields(json, place, kTrafficLimitFields, findings);
+}
+
+constexpr std::array<Field<RouteTableSpec>, 3> kRouteTableFields{{
+    {"routes", &readRoutes},
+    {"services", &readRoutedServices},
+    {"limits", &readTrafficLimits},
+}};
+
 void checkMethod(const MethodSpec &method, const std::string &place, ObjectFindings &findings)
 {
     if (method.name.empty()) {
@@ -215,6 +293,24 @@
     }
 }
 
+void checkSpec(const RouteTableSpec &spec, ObjectFindings &findings)
+{
+    for (std::size_t n = 0; n < spec.routes.size(); ++n) {
+        const auto &route = spec.routes[n];
+        const auto place = "spec.routes[" + std::to_string(n) + "]";
+        if (route.host.empty()) {
+            findings.addFault(place + ".host", "must not be empty");
+        }
+        if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/')) {
+            findings.addFault(place + ".pathPrefix", "must begin and end with /");
+        }
+        const auto isUsed = [](const RouteBackend &it) { return !it.service.empty() && it.weight > 0; };
+        if (std::none_of(route.backends.begin(), route.backends.end(), isUsed)) {
+            findings.addFault(place + ".backends", "must name a service with a weight above 0");
+        }
+    }
+}
+
 using ReadSpecFunction = ObjectSpec (*)(const Json &json, ObjectFindings &findings);
 
 template<const auto &kFields>
@@ -228,10 +324,17 @@
 constexpr std::array<ReadSpecFunction, static_cast<std::size_t>(ObjectKind::Count)> kReadSpec{
     &readCheckedSpec<kServiceFields>, &readCheckedSpec<kCallerFields>, &readCheckedSpec<kOverloadFields>,
     &readCheckedSpec<kRetryFields>,   &readCheckedSpec<kRouteFields>,  &readCheckedSpec<kContactFields>,
+    &readCheckedSpec<kRouteTableFields>,
 };
 
 } // namespace
 
+RequestClass RouteSpec::requestClass() const
+{
+    constexpr std::array kClasses{RequestClass::Order, RequestClass::Standard, RequestClass::Lookup};
+    return kClasses.at(std::min<std::size_t>(priority, kClasses.size() - 1));
+}
+
 ObjectSpec readSpec(ObjectKind kind, const Json &json, ObjectFindings &findings)
 {
     return kReadSpec.at(static_cast<std::size_t>(kind))(json, findings);
--- a/src/ctl/change_commands.cpp
+++ b/src/ctl/change_commands.cpp
@@ -115,7 +115,7 @@
 ExitCode planChange(CtlContext &context, PlannedChange &change)
 {
     const auto read = readObject(*context.store, change.kind, change.name);
-    if (read.ec && read.ec != PlatformError::NotFound) {
+    if (read.ec && read.ec != StoreError::NotFound) {
         context.err << labelOf(change) << ": " << read.ec.message() << "; nothing was written\n";
         return ExitCode::Failed;
     }
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -3,7 +3,7 @@
 /// @file
 /// Commands of the operators' client: what they share.
 
-#include <chicoryspar/platform.h>
+#include <chicoryspar/store.h>
 
 #include <iosfwd>
 
--- a/src/ctl/tables.cpp
+++ b/src/ctl/tables.cpp
@@ -61,10 +61,10 @@
     if (!ec) {
         return ExitCode::Ok;
     }
-    if (ec == PlatformError::NotFound) {
+    if (ec == StoreError::NotFound) {
         return ExitCode::NotFound;
     }
-    if (ec == PlatformError::Conflict || ec == PlatformError::AlreadyExists) {
+    if (ec == StoreError::Conflict || ec == StoreError::AlreadyExists) {
         return ExitCode::Conflict;
     }
     return ExitCode::Failed;
--- a/src/node/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Header fields of HTTP messages.
 
-#include "node/http_message.h"
+#include <chicoryspar/http.h>
 
 #include <algorithm>
 #include <charconv>
@@ -53,6 +53,11 @@
     return std::any_of(kHopByHop.begin(), kHopByHop.end(), [&](std::string_view it) { return equalsIgnoringCase(it, name); });
 }
 
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find_first_of("?#"));
+}
+
 std::optional<std::uint64_t> parseWholeNumber(std::string_view text)
 {
     std::uint64_t number = 0;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -186,6 +186,7 @@
 
 void Membership::setContacts(std::vector<std::string> contacts)
 {
+    m_state->untriedContacts = contacts;
     m_state->options.contacts = std::move(contacts);
 }
 
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -72,6 +72,8 @@
     TimePoint nextProbeAt{};
     TimePoint nextSyncAt{};
     TimePoint nextContactAt{};
+    /// Contacts that were not asked since they were set.
+    std::vector<std::string> untriedContacts;
     TimePoint nextDeadProbeAt{};
     TimePoint nextForgetAt{};
     TimePoint lastForeignClaimAt{};
--- a/src/membership/membership_sync.cpp
+++ b/src/membership/membership_sync.cpp
@@ -154,17 +154,37 @@
     return members;
 }
 
+bool isPresentMember(const MembershipState &state, const std::string &address)
+{
+    return std::any_of(state.view.members.begin(), state.view.members.end(),
+                       [&address](const auto &it) { return it.second.isPresent() && it.second.info.address == address; });
+}
+
+/// Asks the next contact that is new and isn't a member yet.
+void tickUntriedContacts(const MembershipCall &call)
+{
+    auto &untried = call.state.untriedContacts;
+    while (!untried.empty()) {
+        const auto address = std::move(untried.back());
+        untried.pop_back();
+        if (!isPresentMember(call.state, address)) {
+            sendDigest(call, address);
+            return;
+        }
+    }
+}
+
 void tickContacts(const MembershipCall &call)
 {
     auto &state = call.state;
+    tickUntriedContacts(call);
     if (call.now < state.nextContactAt || state.options.contacts.empty()) {
         return;
     }
     const bool isAlone = state.view.others.empty();
     state.nextContactAt = call.now + jittered(isAlone ? kFirstContactPeriod : state.options.contactPeriod, call.random);
     const auto &address = state.options.contacts[drawBelow(call.random, state.options.contacts.size())];
-    const auto isMember = [&address](const auto &it) { return it.second.isPresent() && it.second.info.address == address; };
-    if (std::none_of(state.view.members.begin(), state.view.members.end(), isMember)) {
+    if (!isPresentMember(state, address)) {
         sendDigest(call, address);
     }
 }
--- a/src/node/backend_client.h
+++ b/src/node/backend_client.h
@@ -3,7 +3,7 @@
 /// @file
 /// HTTP client towards the backend server beside the node: reused connections, bounded in number.
 
-#include "node/http_message.h"
+#include <chicoryspar/http.h>
 
 #include <deque>
 #include <functional>
@@ -29,6 +29,12 @@
     std::uint32_t maxHeaderBytes = 64 * 1024;
     /// Longest body of an answer, in bytes.
     std::uint64_t maxBodyBytes = 7 * 1024 * 1024;
+    /// A connection that was idle for longer isn't used again, unless the backend server states a time of its own.
+    Duration idleTimeout = std::chrono::seconds(60);
+    /// Returns what the answer to a request with these headers repeats.
+    std::function<std::string(const std::vector<HeaderField> &headers)> correlationOf;
+    /// Returns whether a response answers the request with this correlation.
+    std::function<bool(const std::string &correlation, const HttpResponse &response)> isAnswerTo;
 };
 
 /// Connections to one backend server. Exchanges beyond the connection limit wait in order.
--- a/src/node/backend_client_beast.cpp
+++ b/src/node/backend_client_beast.cpp
@@ -20,6 +20,24 @@
 
 namespace {
 
+/// Margin before the time at which the backend server closes an idle connection.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(1200);
+/// Answers to other requests that are read past before the connection is given up.
+constexpr int kMaxForeignAnswers = 4;
+
+/// Returns the idle timeout that a Keep-Alive field states.
+std::optional<Duration> readIdleTimeout(std::string_view field)
+{
+    constexpr std::string_view kName = "timeout=";
+    const auto at = field.find(kName);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto value = field.substr(at + kName.size());
+    const auto seconds = parseWholeNumber(value.substr(0, value.find_first_not_of("0123456789")));
+    return seconds ? std::optional<Duration>(std::chrono::seconds(*seconds)) : std::nullopt;
+}
+
 http::request<http::string_body> toMessage(HttpRequest request, const std::string &host)
 {
     http::request<http::string_body> message;
@@ -80,6 +98,11 @@
     {
         m_id = exchange.id;
         m_done = std::move(exchange.done);
+        m_foreignAnswers = 0;
+        m_isWritten = false;
+        if (m_client->m_options.correlationOf) {
+            m_correlation = m_client->m_options.correlationOf(exchange.request.headers);
+        }
         m_isHead = exchange.request.verb == "HEAD";
         m_message = toMessage(std::move(exchange.request), m_address);
         m_bytesWritten = false;
@@ -98,6 +121,12 @@
         connect();
     }
 
+    /// Returns whether the backend server may have closed the idle connection by now.
+    bool isExpired() const
+    {
+        return std::chrono::steady_clock::now() - m_idleSince >= m_idleTimeout;
+    }
+
     void cancel()
     {
         fail(m_bytesWritten ? Outcome::Unknown : Outcome::NotRun, Reason::Cancelled);
@@ -113,6 +142,7 @@
     /// Closes the connection when the backend server closes it.
     void watchWhileIdle()
     {
+        m_idleSince = std::chrono::steady_clock::now();
         m_isWatching = true;
         m_stream.socket().async_wait(tcp::socket::wait_read, [weak = weak_from_this()](beast::error_code ec) {
             const auto self = weak.lock();
@@ -155,18 +185,19 @@
         });
     }
 
+    /// The answer is read while the request is written: it may come before the whole body is taken.
     void write()
     {
         m_bytesWritten = true;
+        read();
         http::async_write(m_stream, m_message, [self = shared_from_this(), id = m_id](beast::error_code ec, std::size_t) {
             if (self->m_id != id) {
                 return;
             }
-            if (ec) {
+            self->m_isWritten = !ec;
+            if (ec && !self->m_buf.size()) {
                 self->fail(Outcome::Unknown, Reason::ConnectionLost);
-                return;
             }
-            self->read();
         });
     }
 
@@ -184,17 +215,29 @@
                 self->fail(Outcome::Unknown, Reason::BackendFailed);
                 return;
             }
-            self->succeed();
+            self->receive();
         });
     }
 
-    void succeed()
+    void receive()
     {
-        // Bytes behind the answer belong to no request, so the connection can't be trusted any more.
-        const bool isReusable = m_parser->get().keep_alive() && !m_parser->get().need_eof() && m_buf.size() == 0;
+        const auto &message = m_parser->get();
+        // Bytes behind the answer belong to no request, and the rest of an unsent body to none either.
+        const bool isReusable = message.keep_alive() && !message.need_eof() && m_buf.size() == 0 && m_isWritten;
+        const auto field = message[http::field::keep_alive];
+        m_idleTimeout = readIdleTimeout({field.data(), field.size()}).value_or(m_client->m_options.idleTimeout + kIdleMargin) - kIdleMargin;
         BackendResult result;
         result.outcome = Outcome::Answer;
+        const bool mayFollow = message.keep_alive() && !message.need_eof();
         result.response = toResponse(m_parser->get(), m_isHead);
+        if (m_client->m_options.isAnswerTo && !m_client->m_options.isAnswerTo(m_correlation, result.response)) {
+            if (!mayFollow || ++m_foreignAnswers > kMaxForeignAnswers) {
+                fail(Outcome::Unknown, Reason::BackendFailed);
+                return;
+            }
+            read();
+            return;
+        }
         auto done = endExchange();
         if (isReusable) {
             m_client->onIdle(shared_from_this());
@@ -251,6 +294,12 @@
     bool m_isHead = false;
     bool m_isWatching = false;
     bool m_bytesWritten = false;
+    /// The whole request was written.
+    bool m_isWritten = false;
+    int m_foreignAnswers = 0;
+    std::string m_correlation;
+    Duration m_idleTimeout{0};
+    std::chrono::steady_clock::time_point m_idleSince;
 };
 
 BackendClient::BackendClient(asio::io_context &io, BackendClientOptions options)
@@ -312,7 +361,7 @@
         if (!m_idle.empty()) {
             connection = m_idle.back();
             m_idle.pop_back();
-            if (connection->address() != m_address) {
+            if (connection->address() != m_address || connection->isExpired()) {
                 connection->detach();
                 continue;
             }
--- a/src/node/config_driver.cpp
+++ b/src/node/config_driver.cpp
@@ -28,12 +28,12 @@
     return read;
 }
 
-WatchEvent readWatchEvent(const PlatformEvent &event)
+WatchEvent readWatchEvent(const StoreEvent &event)
 {
-    if (event.kind == PlatformEventKind::Bookmark) {
+    if (event.kind == StoreEventKind::Bookmark) {
         return {.eventKind = WatchEventKind::Bookmark, .version = event.version};
     }
-    const bool isDeletion = event.kind == PlatformEventKind::Deleted;
+    const bool isDeletion = event.kind == StoreEventKind::Deleted;
     return {isDeletion ? WatchEventKind::Deleted : WatchEventKind::Changed, event.version, parseObject(event.object)};
 }
 
@@ -42,7 +42,7 @@
     if (!ec) {
         return StoreCallEnd::Done;
     }
-    return ec == PlatformError::Expired ? StoreCallEnd::Expired : StoreCallEnd::Failed;
+    return ec == StoreError::Expired ? StoreCallEnd::Expired : StoreCallEnd::Failed;
 }
 
 std::string subjectOf(const ObjectKey &key)
@@ -58,11 +58,11 @@
 
 } // namespace
 
-ConfigDriver::ConfigDriver(NodeContext &context, MembershipDriver &membership, StoreLink &store)
+ConfigDriver::ConfigDriver(NodeContext &context, MembershipDriver &membership, StoreLink &store, std::vector<ObjectKind> kinds)
     : m_context(context)
     , m_membership(membership)
     , m_store(store)
-    , m_sync(ConfigSyncOptions{.self = context.self, .zone = context.settings.zone}, steadyNow(), context.random)
+    , m_sync(ConfigSyncOptions{.self = context.self, .zone = context.settings.zone, .kinds = std::move(kinds)}, steadyNow(), context.random)
     , m_timer(context.io)
 {
 }
@@ -169,7 +169,7 @@
     };
     m_store.store().watchObjects(
         {.kind = call.kind, .version = call.version, .duration = call.duration},
-        [handler = m_store.wrap(std::move(onEvent))](const PlatformEvent &event) { handler(readWatchEvent(event)); },
+        [handler = m_store.wrap(std::move(onEvent))](const StoreEvent &event) { handler(readWatchEvent(event)); },
         m_store.wrap(std::move(onEnd)));
 }
 
--- a/src/node/config_driver.h
+++ b/src/node/config_driver.h
@@ -25,7 +25,8 @@
 class ConfigDriver
 {
 public:
-    ConfigDriver(NodeContext &context, MembershipDriver &membership, StoreLink &store);
+    /// @param kinds that the store holds; empty for all
+    ConfigDriver(NodeContext &context, MembershipDriver &membership, StoreLink &store, std::vector<ObjectKind> kinds = {});
 
     /// Begins; the membership must have been started.
     void start();
--- /dev/null
+++ b/src/node/contact_directory.cpp
@@ -0,0 +1,148 @@
+/// @file
+/// Contacts in the store.
+
+#include "node/contact_directory.h"
+
+#include "node/log.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace chicoryspar {
+namespace {
+
+/// Nodes that start together have entered themselves when the second list is read.
+constexpr Duration kSecondListDelay = std::chrono::milliseconds(1500);
+/// A merge of views that lost each other waits this long at most.
+constexpr Duration kListPeriod = std::chrono::seconds(60);
+constexpr Duration kMinBackoff = std::chrono::milliseconds(300);
+constexpr Duration kMaxBackoff = std::chrono::seconds(4);
+
+std::string addressOf(const std::string &object)
+{
+    const auto parsed = parseObject(object);
+    const auto *contact = parsed.object ? std::get_if<ContactSpec>(&parsed.object->spec) : nullptr;
+    return contact ? contact->address : std::string();
+}
+
+} // namespace
+
+ContactDirectory::ContactDirectory(NodeContext &context, MembershipDriver &membership, StoreLink &store, bool isUsed)
+    : m_context(context)
+    , m_membership(membership)
+    , m_store(store)
+    , m_timer(context.io)
+    , m_isUsed(isUsed)
+{
+}
+
+void ContactDirectory::start()
+{
+    if (m_isUsed && m_store.hasStore()) {
+        run();
+    }
+}
+
+void ContactDirectory::stop()
+{
+    m_timer.cancel();
+}
+
+void ContactDirectory::arm(Duration delay)
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (!ec && !m_context.isStopping) {
+            run();
+        }
+    });
+}
+
+void ContactDirectory::run()
+{
+    if (m_isWritten) {
+        list();
+    } else {
+        writeOwn();
+    }
+}
+
+std::string ContactDirectory::ownObject() const
+{
+    const nlohmann::json json{{"apiVersion", kApiVersion},
+                              {"kind", rowOf(ObjectKind::Contact).name},
+                              {"metadata", {{"name", m_context.settings.name}}},
+                              {"spec", {{"address", m_context.peersAddress}}}};
+    return json.dump();
+}
+
+void ContactDirectory::writeOwn()
+{
+    std::function<void(std::error_code, std::string)> handler = [this](std::error_code ec, const std::string &) {
+        if (ec != StoreError::AlreadyExists && ec != StoreError::Conflict) {
+            onWritten(ec);
+            return;
+        }
+        std::function<void(std::error_code, std::string)> replaced = [this](std::error_code it, const std::string &) { onWritten(it); };
+        m_store.store().replaceObject(ObjectKind::Contact, m_context.settings.name, ownObject(), m_store.wrap(std::move(replaced)));
+    };
+    m_store.store().createObject(ObjectKind::Contact, ownObject(), m_store.wrap(std::move(handler)));
+}
+
+void ContactDirectory::onWritten(std::error_code ec)
+{
+    if (ec) {
+        writeLog(LogLevel::Warning, "own contact not written", {{"error", ec.message()}});
+    } else {
+        m_isWritten = true;
+    }
+    // Others may be there already.
+    list();
+}
+
+void ContactDirectory::list()
+{
+    std::function<void(std::error_code, std::vector<std::string>)> handler = [this](std::error_code ec,
+                                                                                    const std::vector<std::string> &contacts) {
+        onListed(ec, contacts);
+    };
+    m_store.store().listObjects(ObjectKind::Contact,
+                                [wrapped = m_store.wrap(std::move(handler))](std::error_code ec, const ObjectList &objects) {
+                                    std::vector<std::string> addresses;
+                                    for (const auto &it : objects.objects) {
+                                        addresses.push_back(addressOf(it));
+                                    }
+                                    wrapped(ec, std::move(addresses));
+                                });
+}
+
+void ContactDirectory::onListed(std::error_code ec, const std::vector<std::string> &contacts)
+{
+    if (ec) {
+        retry();
+        return;
+    }
+    std::vector<std::string> others;
+    for (const auto &it : contacts) {
+        if (!it.empty() && it != m_context.peersAddress) {
+            others.push_back(it);
+        }
+    }
+    m_membership.setContacts(others);
+    if (!m_isWritten) {
+        retry();
+        return;
+    }
+    m_backoff = Duration{0};
+    arm(m_wasListed ? kListPeriod : kSecondListDelay);
+    m_wasListed = true;
+}
+
+void ContactDirectory::retry()
+{
+    m_backoff = std::clamp(m_backoff * 2, kMinBackoff, kMaxBackoff);
+    arm(m_backoff / 2 + Duration(static_cast<Duration::rep>(drawUnit(m_context.random) * static_cast<double>(m_backoff.count()) / 2)));
+}
+
+} // namespace chicoryspar
--- /dev/null
+++ b/src/node/contact_directory.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// @file
+/// Nodes find each other: each enters its address as a Contact in the store, and takes the others' as first contacts of its membership.
+
+#include "node/membership_driver.h"
+#include "node/store_link.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace chicoryspar {
+
+/// The own entry and the list of the others. Liveness is the membership's matter: an entry only says where a node was.
+class ContactDirectory
+{
+public:
+    /// @param isUsed whether nodes find each other through the store
+    ContactDirectory(NodeContext &context, MembershipDriver &membership, StoreLink &store, bool isUsed);
+
+    void start();
+    void stop();
+
+private:
+    void arm(Duration delay);
+    void run();
+    void writeOwn();
+    void onWritten(std::error_code ec);
+    void list();
+    void onListed(std::error_code ec, const std::vector<std::string> &contacts);
+    std::string ownObject() const;
+    void retry();
+
+    NodeContext &m_context;
+    MembershipDriver &m_membership;
+    StoreLink &m_store;
+    boost::asio::steady_timer m_timer;
+    Duration m_backoff{0};
+    bool m_isUsed;
+    bool m_isWritten = false;
+    bool m_wasListed = false;
+};
+
+} // namespace chicoryspar
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -7,9 +7,11 @@
 
 namespace chicoryspar {
 
-NodeContext::NodeContext(boost::asio::io_context &ioContext, const NodeSettings &nodeSettings, std::uint64_t bootTime, std::uint64_t seed)
+NodeContext::NodeContext(boost::asio::io_context &ioContext, const NodeSettings &nodeSettings, const EdgeDialect &edgeDialect,
+                         std::uint64_t bootTime, std::uint64_t seed)
     : io(ioContext)
     , settings(nodeSettings)
+    , edge(edgeDialect)
     , self(makeNodeId(nodeSettings.name))
     , boot(bootTime)
     , random(seed)
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -52,7 +52,8 @@
 /// Shared state and the parts of one node.
 struct NodeContext
 {
-    NodeContext(boost::asio::io_context &ioContext, const NodeSettings &nodeSettings, std::uint64_t bootTime, std::uint64_t seed);
+    NodeContext(boost::asio::io_context &ioContext, const NodeSettings &nodeSettings, const EdgeDialect &edgeDialect,
+                std::uint64_t bootTime, std::uint64_t seed);
 
     /// Adds an event to the buffer of this node.
     void recordEvent(Event event);
@@ -65,6 +66,7 @@
 
     boost::asio::io_context &io;
     const NodeSettings &settings;
+    const EdgeDialect &edge;
     NodeId self;
     /// Start of this process in milliseconds since the Unix epoch.
     std::uint64_t boot;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -20,6 +20,15 @@
     return static_cast<std::uint32_t>(hashBytes(name));
 }
 
+/// Attempts at a call that no backend server saw.
+constexpr std::uint32_t kMaxAttempts = 6;
+
+/// Tells whether a backend server may have seen the attempt that ended with @a answer.
+bool hasReachedBackend(const CallAnswer &answer)
+{
+    return answer.outcome != Outcome::NotRun || answer.reason == Reason::ShedByBackend;
+}
+
 Candidate toCandidate(const MemberInfo &info)
 {
     return Candidate{.node = info.id,
@@ -61,6 +70,8 @@
     TimePoint sentAt;
     std::uint32_t attempt = 0;
     std::uint32_t repeats = 0;
+    /// Attempts that may have reached a backend server.
+    std::uint32_t runs = 0;
     Level levelBelow;
     bool isPending = false;
     bool isCancelled = false;
@@ -242,8 +253,9 @@
     call.isPending = false;
     noteResult(now, call, answer);
     call.mayHaveRun = call.mayHaveRun || answer.outcome == Outcome::Unknown;
+    call.runs += hasReachedBackend(answer) ? 1 : 0;
     if (answer.outcome != Outcome::Answer && mayTryAgain(now, call, answer)) {
-        scheduleRepeat(id, call, answer.retryAfter);
+        scheduleRepeat(id, call, answer);
         return;
     }
     if (answer.outcome == Outcome::NotRun && call.mayHaveRun) {
@@ -257,11 +269,23 @@
     if (call.isCancelled || now >= call.routed.deadline || !mayRepeat(answer.outcome, answer.reason, call.routed.isSafe)) {
         return false;
     }
+    if (!hasReachedBackend(answer) && call.routed.maxRuns > 0) {
+        // No backend server saw the attempt, so another costs none of them anything.
+        return call.attempt < kMaxAttempts;
+    }
+    if (call.routed.maxRuns > 0 && call.runs >= call.routed.maxRuns) {
+        return false;
+    }
     return m_ratio.takeRepeat(now) && call.budget.takeRepeat();
 }
 
-void Dispatcher::scheduleRepeat(std::uint64_t id, Call &call, Duration retryAfter)
+void Dispatcher::scheduleRepeat(std::uint64_t id, Call &call, const CallAnswer &answer)
 {
+    if (!hasReachedBackend(answer) && call.routed.maxRuns > 0) {
+        boost::asio::post(m_context.io, [this, id] { startAttempt(id); });
+        return;
+    }
+    const auto retryAfter = answer.retryAfter;
     const auto &policy = m_context.config.retryPolicyOf(call.routed.request.service);
     const auto delay =
         backoffDelay(m_context.random, BackoffOptions{.base = policy.backoff, .max = policy.maxBackoff}, ++call.repeats, retryAfter);
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -18,6 +18,8 @@
     TimePoint deadline;
     /// True when running it twice does no harm.
     bool isSafe = false;
+    /// Upstreams on which the call may run; 0 for no bound.
+    std::uint32_t maxRuns = 0;
     /// Hash of service and method: calls of one key use the same services below.
     std::uint64_t methodKey = 0;
     /// Called just before an attempt is written, with its upstream; may complete the request.
@@ -66,7 +68,7 @@
     void onAnswer(std::uint64_t id, std::uint32_t attempt, CallAnswer answer);
     void noteResult(TimePoint now, Call &call, const CallAnswer &answer);
     bool mayTryAgain(TimePoint now, Call &call, const CallAnswer &answer);
-    void scheduleRepeat(std::uint64_t id, Call &call, Duration retryAfter);
+    void scheduleRepeat(std::uint64_t id, Call &call, const CallAnswer &answer);
     void finish(std::uint64_t id, CallAnswer answer);
     void refuse(std::uint64_t id, Reason reason, Duration retryAfter);
 
--- a/src/node/endpoint_asio.cpp
+++ b/src/node/endpoint_asio.cpp
@@ -3,7 +3,7 @@
 
 #include "node/endpoint.h"
 
-#include "node/http_message.h"
+#include <chicoryspar/http.h>
 
 #include <limits>
 
--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -5,6 +5,7 @@
 
 #include "node/clock.h"
 #include "node/dispatcher.h"
+#include "node/endpoint.h"
 #include "node/entry_request.h"
 #include "node/gate_service.h"
 #include "node/key_service.h"
@@ -12,22 +13,12 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 namespace chicoryspar {
 namespace {
 
-constexpr std::string_view kAnnouncePath = "/chicoryspar/announce";
-constexpr std::string_view kHeaderPrefix = "Chicoryspar-";
 constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kBadRequest = 400;
-constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
-
-std::string retryAfterSeconds(Duration value)
-{
-    const auto wait = value > Duration{0} ? value : kDefaultRetryAfter;
-    return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
-}
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kServiceUnavailable = 503;
 
 /// Returns the outcome of a refusal that the record owner of the request's key, if it has one, wasn't asked about.
 Outcome refusedAs(const HttpRequest &request, Reason reason)
@@ -92,15 +83,51 @@
 
 // --- Begin -----------------------------------------------------------------------------------------------------------
 
+EntryService::Target EntryService::findTarget(const EntryFields &fields, const HttpRequest &request)
+{
+    const auto path = pathOf(request.target);
+    Target target{.service = fields.service};
+    if (m_context.edge.usesRoutes()) {
+        const auto *route = m_context.config.routeOf(fields.host, path);
+        if (!route) {
+            target.reason = m_context.config.hasRoutes() ? Reason::UnknownService : Reason::NotConfigured;
+            return target;
+        }
+        target.service = m_weights.pick(*route);
+        target.method = MethodSpec{
+            .name = route->name, .requestClass = route->requestClass(), .idempotent = route->idempotent, .defaultTimeout = route->timeout};
+        target.maxRuns = route->maxAttempts;
+        return target;
+    }
+    const auto *method = m_context.config.methodOf(fields.service, request.verb, path);
+    if (!method) {
+        target.reason = m_context.config.size() == 0 ? Reason::NotConfigured : Reason::UnknownService;
+        return target;
+    }
+    target.method = *method;
+    return target;
+}
+
+std::optional<GateService::Parent> EntryService::findParent(EntryRole role, const EntryFields &fields) const
+{
+    const bool mayHaveParent = role == EntryRole::Backend || fields.isParentGuessed;
+    return mayHaveParent && !fields.parentToken.empty() ? m_context.gate->findParent(fields.parentToken) : std::nullopt;
+}
+
 std::uint64_t EntryService::beginRequest(EntryRole role, HttpRequest request, HttpHandler::Respond respond)
 {
     const auto now = steadyNow();
-    const auto path = pathOf(request.target);
-    if (role == EntryRole::Backend && path == kAnnouncePath) {
-        respond(takeAnnouncement(request));
+    if (role == EntryRole::Readiness) {
+        respond(m_context.edge.asksReadiness(request) ? answerReadiness() : HttpResponse{.status = kNotFound});
         return 0;
     }
-    auto fields = readEntryFields(request);
+    if (role == EntryRole::Backend) {
+        if (auto notice = m_context.edge.readNotice(request)) {
+            respond(takeNotice(std::move(*notice)));
+            return 0;
+        }
+    }
+    auto fields = m_context.edge.readEntry(request);
     if (!fields.findings.empty()) {
         respond(refuseAtOnce({.reason = Reason::MalformedRequest,
                               .outcome = refusedAs(request, Reason::MalformedRequest),
@@ -108,30 +135,31 @@
                               .detail = toString(fields.findings)}));
         return 0;
     }
-    const auto method = m_context.config.methodOf(fields.service, request.verb, path);
-    if (!method) {
-        const auto reason = m_context.config.size() == 0 ? Reason::NotConfigured : Reason::UnknownService;
-        respond(refuseAtOnce({.reason = reason, .outcome = refusedAs(request, reason), .service = fields.service}));
+    const auto target = findTarget(fields, request);
+    const auto &method = target.method;
+    if (target.reason != Reason::None) {
+        respond(refuseAtOnce({.reason = target.reason, .outcome = refusedAs(request, target.reason), .service = fields.service}));
         return 0;
     }
-    ContextInput input{fields, *method, m_context.config, std::nullopt, makeRequestId(wallNow(), m_context.random)};
-    if (role == EntryRole::Backend && !fields.parentToken.empty()) {
-        input.parent = m_context.gate->findParent(fields.parentToken);
-        if (!input.parent) {
-            respond(refuseAtOnce({.reason = Reason::Cancelled,
-                                  .outcome = refusedAs(request, Reason::Cancelled),
-                                  .requestClass = method->requestClass,
-                                  .service = fields.service,
-                                  .detail = "the parent call has ended"}));
-            return 0;
-        }
+    if (m_context.edge.usesRoutes()) {
+        // The operator's bound on the wait goes before the caller's.
+        fields.timeout = std::min(fields.timeout.value_or(method.defaultTimeout), method.defaultTimeout);
+    }
+    ContextInput input{fields, method, m_context.config, findParent(role, fields), makeRequestId(wallNow(), m_context.random)};
+    if (role == EntryRole::Backend && !fields.parentToken.empty() && !input.parent && !fields.isParentGuessed) {
+        respond(refuseAtOnce({.reason = Reason::Cancelled,
+                              .outcome = refusedAs(request, Reason::Cancelled),
+                              .requestClass = method.requestClass,
+                              .service = target.service,
+                              .detail = "the parent call has ended"}));
+        return 0;
     }
-    const auto key = method->once ? checkKeyHeader(findHeader(request.headers, "Idempotency-Key").value_or("")) : KeyCheck{};
+    const auto key = method.once ? checkKeyHeader(findHeader(request.headers, "Idempotency-Key").value_or("")) : KeyCheck{};
     if (!key.isValid()) {
         respond(refuseAtOnce({.reason = key.reason,
                               .outcome = refusedAs(request, key.reason),
-                              .requestClass = method->requestClass,
-                              .service = fields.service}));
+                              .requestClass = method.requestClass,
+                              .service = target.service}));
         return 0;
     }
     const auto id = ++m_lastEntry;
@@ -141,13 +169,16 @@
     }
     CallRequest call;
     call.context = makeContext(now, input);
-    call.service = fields.service;
+    call.service = target.service;
     call.caller = input.parent ? input.parent->caller : fields.caller;
+    if (!m_context.settings.service.empty()) {
+        call.caller = m_context.settings.service;
+    }
     call.verb = std::move(request.verb);
     call.target = std::move(request.target);
     call.headers = std::move(request.headers);
     call.body = std::move(request.body);
-    removeHeadersWithPrefix(call.headers, kHeaderPrefix);
+    m_context.edge.removeReserved(call.headers);
     call.key = key.key;
     call.firstAttempt = isFirstAttempt;
     auto &entry = m_entries[id];
@@ -162,13 +193,14 @@
         m_context.gate->addChild(entry.parent, id);
     }
     const auto deadline = now + call.context.remaining;
-    beginCall(id, entry, std::move(call), *method, deadline);
+    beginCall(id, entry, std::move(call), target, deadline);
     return m_entries.contains(id) ? id : 0;
 }
 
-void EntryService::beginCall(std::uint64_t id, Entry &entry, CallRequest request, const MethodSpec &method, TimePoint deadline)
+void EntryService::beginCall(std::uint64_t id, Entry &entry, CallRequest request, const Target &target, TimePoint deadline)
 {
     auto handler = [this, id](CallAnswer answer) { onAnswer(id, std::move(answer)); };
+    const auto &method = target.method;
     if (method.once) {
         const bool isFirst = request.firstAttempt;
         m_context.keys->beginCall({.request = std::move(request), .deadline = deadline, .firstAttempt = isFirst}, std::move(handler));
@@ -178,6 +210,7 @@
     routed.request = std::move(request);
     routed.deadline = deadline;
     routed.isSafe = method.idempotent && !method.once;
+    routed.maxRuns = target.maxRuns;
     routed.methodKey = methodKeyOf(routed.request.service, method.name);
     const auto call = m_context.dispatcher->beginCall(std::move(routed), std::move(handler));
     if (m_entries.contains(id)) {
@@ -185,24 +218,31 @@
     }
 }
 
-HttpResponse EntryService::takeAnnouncement(const HttpRequest &request)
+HttpResponse EntryService::takeNotice(BackendNotice notice)
 {
-    HttpResponse response;
-    response.headers.push_back({"Content-Type", "application/json"});
-    auto parsed = parseAnnouncement(request.body);
-    nlohmann::json body{{"node", m_context.settings.name}, {"configured", m_context.config.size() > 0}};
-    if (!parsed.findings.empty()) {
-        response.status = kBadRequest;
-        for (const auto &it : parsed.findings) {
-            body["findings"].push_back({{"place", it.place}, {"text", it.text}});
-        }
+    const auto now = steadyNow();
+    auto &it = notice.announcement;
+    if (notice.kind == NoticeKind::Announcement && !it.address.empty() && !parseEndpoint(it.address)) {
+        notice.findings.push_back({"address", "'" + it.address + "' isn't ip:port"});
+    }
+    const auto response = m_context.edge.answerNotice(
+        {.node = m_context.settings.name, .isConfigured = m_context.config.size() > 0, .findings = notice.findings});
+    if (!notice.findings.empty()) {
+        writeLog(LogLevel::Warning, "unusable notice of a backend server", {{"findings", toString(notice.findings)}});
+    } else if (notice.kind == NoticeKind::Departure) {
+        m_context.gate->depart(now, it.instance);
     } else {
-        m_context.gate->announce(steadyNow(), std::move(parsed.announcement));
+        m_context.gate->announce(now, std::move(it));
     }
-    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
 }
 
+HttpResponse EntryService::answerReadiness() const
+{
+    const bool isConfigured = m_context.edge.usesRoutes() ? m_context.config.hasRoutes() : m_context.config.size() > 0;
+    return {.status = isConfigured && !m_context.isStopping ? kOk : kServiceUnavailable};
+}
+
 // --- End -------------------------------------------------------------------------------------------------------------
 
 void EntryService::onAnswer(std::uint64_t id, CallAnswer answer)
@@ -217,7 +257,7 @@
     m_context.metrics.countOutcome(entry.requestClass, answer.outcome, answer.reason, steadyNow() - entry.beganAt);
     const auto respond = std::move(entry.respond);
     if (respond) {
-        respond(makeResponse(entry, std::move(answer)));
+        respond(m_context.edge.makeResponse(entry.root, std::move(answer)));
     }
 }
 
@@ -250,45 +290,6 @@
     }
 }
 
-HttpResponse EntryService::makeResponse(const Entry &entry, CallAnswer answer) const
-{
-    HttpResponse response;
-    if (answer.outcome == Outcome::Answer) {
-        response.status = answer.status;
-        response.headers = std::move(answer.headers);
-        removeHeadersWithPrefix(response.headers, kHeaderPrefix);
-        response.body = std::move(answer.body);
-    } else {
-        response = makeProblem(answer);
-    }
-    response.headers.push_back({"Chicoryspar-Outcome", std::string(rowOf(answer.outcome).name)});
-    if (answer.reason != Reason::None) {
-        response.headers.push_back({"Chicoryspar-Reason", std::string(rowOf(answer.reason).name)});
-    }
-    response.headers.push_back({"Chicoryspar-Root", toString(entry.root)});
-    response.headers.push_back({"Chicoryspar-Node", answer.node});
-    response.headers.push_back({"Chicoryspar-Retry-Tokens-Left", std::to_string(answer.retryTokensLeft)});
-    return response;
-}
-
-HttpResponse EntryService::makeProblem(const CallAnswer &answer) const
-{
-    const auto &row = rowOf(answer.reason);
-    HttpResponse response;
-    response.status = static_cast<std::uint16_t>(row.status == kOk ? rowOf(Reason::BackendFailed).status : row.status);
-    response.headers.push_back({"Content-Type", "application/problem+json"});
-    response.headers.push_back({"Retry-After", retryAfterSeconds(answer.retryAfter)});
-    const nlohmann::ordered_json body{{"type", "urn:chicoryspar:reason:" + std::string(row.name)},
-                                      {"title", row.text},
-                                      {"status", response.status},
-                                      {"detail", answer.body},
-                                      {"outcome", rowOf(answer.outcome).name},
-                                      {"reason", row.name},
-                                      {"node", answer.node}};
-    response.body = body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
-    return response;
-}
-
 HttpResponse EntryService::refuseAtOnce(const Refusal &refusal)
 {
     CallAnswer answer;
@@ -298,7 +299,7 @@
     answer.body = refusal.detail;
     m_context.metrics.countOutcome(refusal.requestClass, answer.outcome, answer.reason, Duration{0});
     m_context.events.countRefusal(refusal.service, refusal.requestClass, answer.reason, {});
-    return makeResponse(Entry{.requestClass = refusal.requestClass}, std::move(answer));
+    return m_context.edge.makeResponse({}, std::move(answer));
 }
 
 } // namespace chicoryspar
--- a/src/node/entry_service.h
+++ b/src/node/entry_service.h
@@ -4,6 +4,7 @@
 /// Turns HTTP requests of callers and of the own backend server into calls, and their ends into HTTP answers.
 
 #include "node/context.h"
+#include "node/gate_service.h"
 #include "node/http_listener.h"
 
 #include <unordered_map>
@@ -14,6 +15,7 @@
 enum class EntryRole : std::uint8_t {
     Callers,
     Backend,
+    Readiness,
     Count,
 };
 
@@ -43,18 +45,26 @@
         std::string service;
         /// Token of the parent call; empty for requests of callers.
         std::string parent;
+        std::string route;
         HttpHandler::Respond respond;
         std::uint64_t call = 0;
         bool isKeyed = false;
     };
 
+    /// Service and method of a request, or why it has none.
+    struct Target
+    {
+        std::string service;
+        MethodSpec method;
+        std::uint32_t maxRuns = 0;
+        Reason reason = Reason::None;
+    };
+
     std::uint64_t beginRequest(EntryRole role, HttpRequest request, HttpHandler::Respond respond);
     void abandonRequest(std::uint64_t id);
-    void beginCall(std::uint64_t id, Entry &entry, CallRequest request, const MethodSpec &method, TimePoint deadline);
+    void beginCall(std::uint64_t id, Entry &entry, CallRequest request, const Target &target, TimePoint deadline);
     void onAnswer(std::uint64_t id, CallAnswer answer);
     void releaseParent(const Entry &entry, std::uint64_t id, const CallAnswer &answer);
-    HttpResponse makeResponse(const Entry &entry, CallAnswer answer) const;
-    HttpResponse makeProblem(const CallAnswer &answer) const;
     /// A refusal before any call began.
     struct Refusal
     {
@@ -67,12 +77,16 @@
     };
 
     HttpResponse refuseAtOnce(const Refusal &refusal);
-    HttpResponse takeAnnouncement(const HttpRequest &request);
+    HttpResponse takeNotice(BackendNotice notice);
+    HttpResponse answerReadiness() const;
+    Target findTarget(const EntryFields &fields, const HttpRequest &request);
+    std::optional<GateService::Parent> findParent(EntryRole role, const EntryFields &fields) const;
 
     NodeContext &m_context;
     std::array<std::unique_ptr<PortHandler>, static_cast<std::size_t>(EntryRole::Count)> m_handlers;
     std::unordered_map<std::uint64_t, Entry> m_entries;
     std::uint64_t m_lastEntry = 0;
+    RouteWeights m_weights;
 };
 
 } // namespace chicoryspar
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -13,7 +13,10 @@
 
 constexpr std::size_t kPollBatch = 64;
 constexpr Duration kRecordInterval = std::chrono::seconds(1);
-constexpr std::uint16_t kServiceUnavailable = 503;
+/// Without an announcement for this long the backend server is taken for gone.
+constexpr Duration kAnnouncementTimeout = std::chrono::seconds(5);
+/// Departed instances that are remembered.
+constexpr std::size_t kMaxDeparted = 16;
 /// Siblings among which a running call shares its retry tokens.
 constexpr std::uint16_t kTokenShare = 2;
 
@@ -26,7 +29,11 @@
 
 GateService::GateService(NodeContext &context)
     : m_context(context)
-    , m_backend(context.io, {})
+    , m_backend(context.io,
+                BackendClientOptions{
+                    .correlationOf = [&edge = context.edge](const auto &headers) { return edge.correlationOf(headers); },
+                    .isAnswerTo = [&edge = context.edge](const auto &correlation, const auto &it) { return edge.isAnswerTo(correlation, it); },
+                })
     , m_gate(steadyNow(), GateOptions{})
     , m_timer(context.io)
 {
@@ -145,7 +152,10 @@
         return;
     }
     call.dispatchedAt = now;
-    call.token = makeToken(m_context.random);
+    call.token = m_context.edge.tokenOf(call.request);
+    if (call.token.empty() || m_tokens.contains(call.token)) {
+        call.token = makeToken(m_context.random);
+    }
     m_tokens[call.token] = ticket;
     auto request = makeBackendRequest(now, call);
     const auto timeout = exchangeTimeout(now, call);
@@ -167,27 +177,23 @@
     request.target = call.request.target;
     request.headers = call.request.headers;
     request.body = call.request.body;
-    const auto &context = call.request.context;
     const Duration remaining = call.deadline - now;
-    const auto deadline = wallNow() + remaining;
-    request.headers.push_back({"Chicoryspar-Call", call.token});
-    request.headers.push_back({"Chicoryspar-Root", toString(context.root)});
-    request.headers.push_back({"Chicoryspar-Class", std::string(rowOf(context.requestClass).name)});
-    request.headers.push_back({"Chicoryspar-Caller", call.request.caller});
-    request.headers.push_back({"Chicoryspar-Timeout-Ms", std::to_string(toMilliseconds(remaining))});
-    request.headers.push_back({"Chicoryspar-Deadline", std::to_string(toMilliseconds(deadline.time_since_epoch()))});
+    m_context.edge.describeCall({.request = call.request,
+                                 .instance = m_announcement.instance,
+                                 .token = call.token,
+                                 .remaining = remaining,
+                                 .deadline = wallNow() + remaining},
+                                request.headers);
     return request;
 }
 
-bool GateService::isShed(const Call &call, const HttpResponse &response) const
+BackendVerdict GateService::judge(const Call &call, const HttpResponse &response) const
 {
-    const auto outcome = findHeader(response.headers, "Chicoryspar-Outcome");
-    if (response.status == kServiceUnavailable && outcome == rowOf(Outcome::NotRun).name) {
-        return true;
-    }
+    const auto verdict = m_context.edge.judgeAnswer(response);
     const auto service = m_context.config.findService(call.request.service);
-    return service
+    const bool isRefusal = service
         && std::find(service->notRunStatuses.begin(), service->notRunStatuses.end(), response.status) != service->notRunStatuses.end();
+    return verdict.outcome == Outcome::Answer && isRefusal ? BackendVerdict{Outcome::NotRun, Reason::ShedByBackend} : verdict;
 }
 
 void GateService::onResult(std::uint64_t ticket, BackendResult result)
@@ -203,11 +209,14 @@
     answer.reason = result.reason;
     answer.serviceTime = now - call.dispatchedAt;
     auto gateResult = GateResult::Failure;
-    if (result.outcome == Outcome::Answer && isShed(call, result.response)) {
-        answer.outcome = Outcome::NotRun;
-        answer.reason = Reason::ShedByBackend;
+    if (result.outcome == Outcome::Answer) {
+        const auto verdict = judge(call, result.response);
+        answer.outcome = verdict.outcome;
+        answer.reason = verdict.reason;
+    }
+    if (answer.outcome == Outcome::NotRun && answer.reason == Reason::ShedByBackend) {
         gateResult = GateResult::Shed;
-    } else if (result.outcome == Outcome::Answer) {
+    } else if (answer.outcome == Outcome::Answer) {
         answer.status = result.response.status;
         answer.headers = std::move(result.response.headers);
         answer.body = std::move(result.response.body);
@@ -329,15 +338,34 @@
 
 // --- State of the backend server -------------------------------------------------------------------------------------
 
+bool GateService::isOutdated(const Announcement &announcement) const
+{
+    const auto isSame = [&](const Announcement &it) { return it.instance == announcement.instance && it.bornAt == announcement.bornAt; };
+    if (std::any_of(m_departed.begin(), m_departed.end(), isSame)) {
+        return true;
+    }
+    if (m_announcement.instance.empty() || announcement.sequence == 0) {
+        return false;
+    }
+    if (isSame(m_announcement)) {
+        return announcement.sequence <= m_announcement.sequence;
+    }
+    return announcement.bornAt != 0 && announcement.bornAt < m_announcement.bornAt;
+}
+
 void GateService::announce(TimePoint now, Announcement announcement)
 {
+    if (isOutdated(announcement)) {
+        writeLog(LogLevel::Info, "outdated announcement ignored",
+                 {{"instance", announcement.instance}, {"sequence", std::to_string(announcement.sequence)}});
+        return;
+    }
     const auto before = readiness();
-    const bool isNewInstance = announcement.instance != m_announcement.instance;
+    const bool isNewInstance = announcement.instance != m_announcement.instance || announcement.bornAt != m_announcement.bornAt;
     const bool isChanged = isNewInstance || announcement.slots != m_announcement.slots || announcement.service != m_announcement.service;
     m_announcement = std::move(announcement);
     m_announcedAt = now;
-    const auto connections = std::min<std::uint64_t>(m_announcement.connections, m_context.settings.maxBackendConnections);
-    m_backend.setTarget(m_announcement.address, connections);
+    m_backend.setTarget(m_announcement.address, connectionLimit());
     if (isChanged) {
         applyPolicy(now);
     }
@@ -348,6 +376,29 @@
     m_context.backendChanged.emitChange(now);
 }
 
+void GateService::depart(TimePoint now, const std::string &instance)
+{
+    if (instance != m_announcement.instance) {
+        writeLog(LogLevel::Info, "departure of another instance ignored", {{"instance", instance}});
+        return;
+    }
+    const auto before = readiness();
+    m_departed.push_back(m_announcement);
+    if (m_departed.size() > kMaxDeparted) {
+        m_departed.pop_front();
+    }
+    m_announcement.readiness = BackendReadiness::Draining;
+    recordReadiness(before);
+    m_context.backendChanged.emitChange(now);
+}
+
+std::uint64_t GateService::connectionLimit() const
+{
+    const auto *service = m_context.config.findRoutedService(m_announcement.service);
+    const std::uint64_t accepted = service ? service->maxConnections : m_announcement.connections;
+    return std::min(accepted, m_context.settings.maxBackendConnections);
+}
+
 void GateService::checkAnnouncement(TimePoint now)
 {
     if (!m_announcement.instance.empty() && now - m_announcedAt > kAnnouncementTimeout) {
@@ -413,13 +464,14 @@
     options.queueTarget = policy.queueTarget;
     options.queueInterval = policy.queueInterval;
     options.queueLength = policy.queueLength;
-    options.coldStart = policy.coldStart;
+    options.coldStart = m_announcement.coldRemaining.value_or(policy.coldStart);
     options.pushBack = policy.pushBack;
     return options;
 }
 
 void GateService::applyPolicy(TimePoint now)
 {
+    m_backend.setTarget(m_announcement.address, connectionLimit());
     m_gate.configure(now, gateOptions());
     pollGate(now);
 }
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -4,9 +4,9 @@
 /// The last hop: admits calls to the backend server on this host, runs them and states how they ended.
 
 #include "node/backend_client.h"
-#include "node/backend_state.h"
 #include "node/context.h"
 
+#include <deque>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -39,9 +39,12 @@
     /// Ends a call that nobody waits for. A keyed call that was dispatched goes on, so that its answer can be kept.
     void cancelCall(std::uint64_t ticket);
 
-    /// Takes an announcement of the backend server.
+    /// Takes an announcement of the backend server, unless it is older than what is known.
     void announce(TimePoint now, Announcement announcement);
 
+    /// The backend server of this instance ends: no new work from now on.
+    void depart(TimePoint now, const std::string &instance);
+
     /// Begins or ends the refusal of new work by an operator.
     void setDrained(TimePoint now, bool isDrained);
     bool isDrained() const;
@@ -92,19 +95,22 @@
         Level below;
     };
 
+    bool isOutdated(const Announcement &announcement) const;
     std::optional<Reason> refusalReason(const CallRequest &request) const;
     void dispatch(TimePoint now, std::uint64_t ticket);
     void endUndispatched(TimePoint now, std::uint64_t ticket, Reason reason, Duration retryAfter);
     void onResult(std::uint64_t ticket, BackendResult result);
     void finish(std::uint64_t ticket, CallAnswer answer);
     void cancelChildren(const Call &call);
-    bool isShed(const Call &call, const HttpResponse &response) const;
+    BackendVerdict judge(const Call &call, const HttpResponse &response) const;
     HttpRequest makeBackendRequest(TimePoint now, Call &call) const;
     Duration exchangeTimeout(TimePoint now, const Call &call) const;
     void pollGate(TimePoint now);
     void armTimer();
     void fillLevels(CallAnswer &answer, Level below) const;
     GateOptions gateOptions() const;
+    /// Connections that the backend server accepts.
+    std::uint64_t connectionLimit() const;
     void recordReadiness(BackendReadiness before);
     void recordChanges();
 
@@ -115,7 +121,8 @@
     Announcement m_announcement;
     TimePoint m_announcedAt{};
     bool m_isDrained = false;
-    bool m_hasPolicy = false;
+    /// Departed instances, latest last: a late announcement must not bring one back.
+    std::deque<Announcement> m_departed;
     DispatchCheck m_dispatchCheck;
     std::function<void(std::uint64_t)> m_cancelChild;
     std::unordered_map<std::uint64_t, Call> m_calls;
--- a/src/node/http_listener.h
+++ b/src/node/http_listener.h
@@ -4,7 +4,7 @@
 /// HTTP server of the call path: one listening port, bounded connections, headers and bodies.
 
 #include "node/endpoint.h"
-#include "node/http_message.h"
+#include <chicoryspar/http.h>
 
 #include <functional>
 #include <memory>
@@ -72,6 +72,9 @@
     /// Opens the port.
     std::error_code start();
 
+    /// Closes each connection after its next answer, and accepts further ones.
+    void beginDrain();
+
     /// Closes the port. Connections finish the request in progress and close.
     void beginStop();
 
--- a/src/node/http_listener_beast.cpp
+++ b/src/node/http_listener_beast.cpp
@@ -96,6 +96,7 @@
     ByteBudget &budget;
     std::unordered_set<Session *> sessions;
     std::size_t requests = 0;
+    bool isDraining = false;
     bool isStopping = false;
 };
 
@@ -311,7 +312,7 @@
 
     void writeResponse(HttpResponse response)
     {
-        const bool keepAlive = m_keepAlive && !m_shared->isStopping;
+        const bool keepAlive = m_keepAlive && !m_shared->isStopping && !m_shared->isDraining;
         m_message = toMessage(std::move(response), keepAlive, m_isHead);
         m_serializer.emplace(m_message);
         m_serializer->split(false);
@@ -382,7 +383,7 @@
 };
 
 HttpListener::HttpListener(asio::io_context &io, HttpListenerOptions options, HttpHandler &handler, ByteBudget &budget)
-    : m_shared(std::make_shared<Shared>(Shared{io, std::move(options), handler, budget, {}, 0, false}))
+    : m_shared(std::make_shared<Shared>(Shared{io, std::move(options), handler, budget, {}, 0, false, false}))
     , m_acceptor(io)
 {
 }
@@ -420,6 +421,11 @@
     });
 }
 
+void HttpListener::beginDrain()
+{
+    m_shared->isDraining = true;
+}
+
 void HttpListener::beginStop()
 {
     m_shared->isStopping = true;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,6 +5,7 @@
 
 #include "node/clock.h"
 #include "node/config_driver.h"
+#include "node/contact_directory.h"
 #include "node/context.h"
 #include "node/dispatcher.h"
 #include "node/entry_service.h"
@@ -49,9 +50,10 @@
     return settings.listenPeers.substr(0, settings.listenPeers.rfind(':')) + ":" + std::to_string(port);
 }
 
-std::unique_ptr<ObjectStore> createStore(const NodeSettings &settings)
+std::unique_ptr<ObjectStore> createStore(const NodeSettings &settings, std::shared_ptr<const StoreDialect> dialect)
 {
-    return settings.platformAddress.empty() ? nullptr : createPlatformClient({.address = settings.platformAddress});
+    return settings.platformAddress.empty() ? nullptr
+                                            : createStoreClient({.address = settings.platformAddress, .dialect = std::move(dialect)});
 }
 
 /// Returns the address of the operators' port that membership tells the other nodes.
@@ -77,15 +79,17 @@
 class Node::Parts
 {
 public:
-    explicit Parts(NodeSettings nodeSettings)
+    Parts(NodeSettings nodeSettings, Dialects dialects)
         : m_settings(std::move(nodeSettings))
-        , m_context(m_io, m_settings, bootTime(), makeSeed())
+        , m_dialects(std::move(dialects))
+        , m_context(m_io, m_settings, *m_dialects.edge, bootTime(), makeSeed())
         , m_budget(m_settings.maxBufferedBytes)
         , m_gate(m_context)
         , m_peers(m_context)
         , m_membership(m_context)
-        , m_store(m_io, createStore(m_settings))
-        , m_config(m_context, m_membership, m_store)
+        , m_store(m_io, createStore(m_settings, m_dialects.store))
+        , m_config(m_context, m_membership, m_store, m_dialects.store->kinds())
+        , m_contacts(m_context, m_membership, m_store, m_dialects.store->hasDirectory())
         , m_operators(m_context, m_config)
         , m_status(m_context, m_config, m_store)
         , m_dispatcher(m_context)
@@ -93,7 +97,8 @@
         , m_entry(m_context)
         , m_callers(m_io, listenerOptions(m_settings, m_settings.listenCallers), m_entry.handler(EntryRole::Callers), m_budget)
         , m_backend(m_io, listenerOptions(m_settings, m_settings.listenBackend), m_entry.handler(EntryRole::Backend), m_budget)
-        , m_signals(m_io, SIGTERM, SIGINT)
+        , m_readiness(m_io, listenerOptions(m_settings, m_settings.listenReadiness), m_entry.handler(EntryRole::Readiness), m_budget)
+        , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_io)
     {
         m_context.gate = &m_gate;
@@ -110,7 +115,11 @@
 
     std::error_code start()
     {
-        for (const auto ec : {m_peers.start(), m_callers.start(), m_backend.start()}) {
+        std::vector<std::error_code> opened{m_peers.start(), m_callers.start(), m_backend.start()};
+        if (!m_settings.listenReadiness.empty()) {
+            opened.push_back(m_readiness.start());
+        }
+        for (const auto ec : opened) {
             if (ec) {
                 return ec;
             }
@@ -124,16 +133,13 @@
             return ec;
         }
         m_config.start();
+        m_contacts.start();
         m_keys.start();
         m_status.start();
         if (const auto ec = writePortsFile()) {
             return ec;
         }
-        m_signals.async_wait([this](boost::system::error_code ec, int) {
-            if (!ec) {
-                beginStop();
-            }
-        });
+        awaitSignal();
         m_context.recordEvent(Event{.kind = EventKind::NodeStarted, .subject = m_settings.name});
         writeLog(LogLevel::Info, "node started",
                  {{"callers", std::to_string(m_callers.port())},
@@ -167,6 +173,22 @@
         return {};
     }
 
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](boost::system::error_code ec, int signal) {
+            if (ec) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                // Ports, names and addresses stay as they are until the next start.
+                writeLog(LogLevel::Info, "reload requested; the settings hold until the next start");
+                awaitSignal();
+            } else if (!m_context.isStopping) {
+                beginStop();
+            }
+        });
+    }
+
     void armTimer()
     {
         m_timer.expires_after(kHousekeepingPeriod);
@@ -190,12 +212,14 @@
         const auto now = steadyNow();
         m_context.isStopping = true;
         m_stopDeadline = now + m_settings.drainTime;
+        m_acceptUntil = now + m_settings.stopAcceptTime;
         m_context.recordEvent(Event{.kind = EventKind::NodeStopping, .subject = m_settings.name});
         writeLog(LogLevel::Info, "planned stop begun");
         m_keys.beginLeave();
-        m_callers.beginStop();
+        m_callers.beginDrain();
         m_peers.beginStop();
         m_context.backendChanged.emitChange(now);
+        continueStop(now);
     }
 
     bool hasWork() const
@@ -206,6 +230,13 @@
 
     void continueStop(TimePoint now)
     {
+        if (!m_isClosed && now >= m_acceptUntil) {
+            m_isClosed = true;
+            m_callers.beginStop();
+        }
+        if (!m_isClosed) {
+            return;
+        }
         if (!m_isLeaving && hasWork() && now < m_stopDeadline) {
             return;
         }
@@ -221,6 +252,7 @@
         m_status.stop();
         m_operators.stop();
         m_config.stop();
+        m_contacts.stop();
         m_store.close();
         m_membership.stop();
         writeLog(LogLevel::Info, "planned stop ended", {{"callsLeft", std::to_string(m_entry.requestCount() + m_gate.callCount())}});
@@ -228,6 +260,7 @@
     }
 
     NodeSettings m_settings;
+    Dialects m_dialects;
     boost::asio::io_context m_io{1};
     NodeContext m_context;
     ByteBudget m_budget;
@@ -236,6 +269,7 @@
     MembershipDriver m_membership;
     StoreLink m_store;
     ConfigDriver m_config;
+    ContactDirectory m_contacts;
     OperatorApi m_operators;
     StatusReporter m_status;
     Dispatcher m_dispatcher;
@@ -243,15 +277,18 @@
     EntryService m_entry;
     HttpListener m_callers;
     HttpListener m_backend;
+    HttpListener m_readiness;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
     TimePoint m_stopDeadline{};
+    TimePoint m_acceptUntil{};
+    bool m_isClosed = false;
     bool m_isLeaving = false;
     bool m_isDone = false;
 };
 
-Node::Node(NodeSettings settings)
-    : m_parts(std::make_unique<Parts>(std::move(settings)))
+Node::Node(NodeSettings settings, Dialects dialects)
+    : m_parts(std::make_unique<Parts>(std::move(settings), std::move(dialects)))
 {
 }
 
--- a/src/node/operator_api_cpprest.cpp
+++ b/src/node/operator_api_cpprest.cpp
@@ -8,7 +8,7 @@
 #include "node/clock.h"
 #include "node/gate_service.h"
 #include "node/log.h"
-#include "platform/listener_cpprest.h"
+#include "store/listener_cpprest.h"
 
 #include <algorithm>
 #include <mutex>
--- a/src/node/status_reporter_json.cpp
+++ b/src/node/status_reporter_json.cpp
@@ -129,7 +129,7 @@
 {
     auto json = Json::parse(object, nullptr, false);
     if (!json.is_object()) {
-        endWrite(PlatformError::Malformed);
+        endWrite(StoreError::Malformed);
         return;
     }
     json["status"] = Json::parse(status, nullptr, false);
--- a/src/node/store_link.h
+++ b/src/node/store_link.h
@@ -3,7 +3,7 @@
 /// @file
 /// The store as a node's parts use it: handlers come back on the node's thread, and none after the end.
 
-#include <chicoryspar/platform.h>
+#include <chicoryspar/store.h>
 
 #include <functional>
 #include <memory>
--- a/src/platform/client_cpprest.cpp
+++ b/src/store/client_cpprest.cpp
@@ -3,9 +3,7 @@
 
 #define _TURN_OFF_PLATFORM_STRING
 
-#include <chicoryspar/platform.h>
-
-#include "platform/answers.h"
+#include <chicoryspar/store.h>
 
 #include <algorithm>
 #include <mutex>
@@ -70,15 +68,6 @@
     return config;
 }
 
-std::string pathOf(ObjectKind kind, const std::string &name = {}, bool isStatus = false)
-{
-    auto path = "/apis/" + std::string(kApiVersion) + "/" + std::string(rowOf(kind).plural);
-    if (!name.empty()) {
-        path += "/" + web::uri::encode_data_string(name);
-    }
-    return isStatus ? path + "/status" : path;
-}
-
 /// Returns the error behind an exception of the library.
 std::error_code errorOf(const std::exception_ptr &error)
 {
@@ -86,11 +75,11 @@
         std::rethrow_exception(error);
     } catch (const web::http::http_exception &it) {
         const bool isTimeout = it.error_code() == std::errc::timed_out || it.error_code() == std::errc::operation_canceled;
-        return isTimeout ? PlatformError::TimedOut : PlatformError::Unreachable;
+        return isTimeout ? StoreError::TimedOut : StoreError::Unreachable;
     } catch (const pplx::task_canceled &) {
-        return PlatformError::TimedOut;
+        return StoreError::TimedOut;
     } catch (const std::exception &) {
-        return PlatformError::Unreachable;
+        return StoreError::Unreachable;
     }
 }
 
@@ -98,8 +87,11 @@
 class WatchReader : public std::enable_shared_from_this<WatchReader>
 {
 public:
-    WatchReader(ObjectStore::EventHandler onEvent, ObjectStore::EndHandler onEnd)
-        : m_onEvent(std::move(onEvent))
+    WatchReader(std::shared_ptr<const StoreDialect> dialect, ObjectKind kind, ObjectStore::EventHandler onEvent,
+                ObjectStore::EndHandler onEnd)
+        : m_dialect(std::move(dialect))
+        , m_kind(kind)
+        , m_onEvent(std::move(onEvent))
         , m_onEnd(std::move(onEnd))
     {
     }
@@ -121,11 +113,35 @@
     void onResponse(const http_response &response)
     {
         if (response.status_code() != web::http::status_codes::OK) {
-            end(errorOfStatus(response.status_code(), {}));
+            end(m_dialect->errorOf(response.status_code(), {}));
             return;
         }
-        m_body = response.body();
-        readNext();
+        if (m_dialect->streamsEvents()) {
+            m_body = response.body();
+            readNext();
+            return;
+        }
+        response.extract_string(true).then([self = shared_from_this()](const pplx::task<std::string> &task) {
+            try {
+                self->end(self->handleEvents(task.get()) ? std::error_code() : make_error_code(StoreError::Malformed));
+            } catch (...) {
+                self->end(errorOf(std::current_exception()));
+            }
+        });
+    }
+
+    /// @returns false when the text isn't what the store promises, or states an error
+    bool handleEvents(const std::string &text)
+    {
+        const auto events = m_dialect->readEvents(m_kind, text);
+        for (const auto &it : events.value_or(std::vector<StoreEvent>())) {
+            if (it.kind == StoreEventKind::Error) {
+                m_failure = StoreError::Expired;
+                return false;
+            }
+            m_onEvent(it);
+        }
+        return events.has_value();
     }
 
     void readNext()
@@ -146,16 +162,10 @@
             end({});
             return;
         }
-        const auto event = line.size() <= kMaxLineBytes ? readEvent(line) : std::nullopt;
-        if (!event) {
-            end(PlatformError::Malformed);
-            return;
-        }
-        if (event->kind == PlatformEventKind::Error) {
-            end(PlatformError::Expired);
+        if (line.size() > kMaxLineBytes || !handleEvents(line)) {
+            end(m_failure);
             return;
         }
-        m_onEvent(*event);
         readNext();
     }
 
@@ -164,16 +174,19 @@
         m_onEnd(ec);
     }
 
+    std::shared_ptr<const StoreDialect> m_dialect;
+    ObjectKind m_kind;
     ObjectStore::EventHandler m_onEvent;
     ObjectStore::EndHandler m_onEnd;
+    StoreError m_failure = StoreError::Malformed;
     std::shared_ptr<http_client> m_client;
     concurrency::streams::istream m_body;
 };
 
-class PlatformClient : public ObjectStore
+class StoreClient : public ObjectStore
 {
 public:
-    explicit PlatformClient(PlatformClientOptions options)
+    explicit StoreClient(StoreClientOptions options)
         : m_options(std::move(options))
         , m_uri("http://" + m_options.address)
         , m_client(std::make_shared<http_client>(m_uri, makeConfig(m_options.callTimeout)))
@@ -181,69 +194,99 @@
     {
     }
 
-    ~PlatformClient() override
+    ~StoreClient() override
     {
         m_cancel.cancel();
     }
 
     void listObjects(ObjectKind kind, ListHandler handler) override
     {
-        sendCall(methods::GET, pathOf(kind), {}, [handler = std::move(handler)](std::error_code ec, const std::string &body) {
-            auto list = ec ? std::nullopt : readList(body);
-            handler(!ec && !list ? make_error_code(PlatformError::Malformed) : ec, list ? std::move(*list) : ObjectList());
-        });
+        listFrom(kind, {}, ObjectList(), std::move(handler));
     }
 
     void getObject(ObjectKind kind, const std::string &name, ObjectHandler handler) override
     {
-        sendCall(methods::GET, pathOf(kind, name), {}, std::move(handler));
+        sendCall(methods::GET, {.path = dialect().objectPath(kind, name)}, decodeFor(kind, std::move(handler)));
     }
 
     void createObject(ObjectKind kind, const std::string &object, ObjectHandler handler) override
     {
-        sendCall(methods::POST, pathOf(kind), object, std::move(handler));
+        sendCall(methods::POST, dialect().creation(kind, object), decodeFor(kind, std::move(handler)));
     }
 
     void replaceObject(ObjectKind kind, const std::string &name, const std::string &object, ObjectHandler handler) override
     {
-        sendCall(methods::PUT, pathOf(kind, name), object, std::move(handler));
+        sendCall(methods::PUT, dialect().replacement(kind, name, object), decodeFor(kind, std::move(handler)));
     }
 
     void replaceStatus(ObjectKind kind, const std::string &name, const std::string &object, ObjectHandler handler) override
     {
-        sendCall(methods::PUT, pathOf(kind, name, true), object, std::move(handler));
+        sendCall(methods::PUT, dialect().statusReplacement(kind, name, object), decodeFor(kind, std::move(handler)));
     }
 
     void removeObject(ObjectKind kind, const std::string &name, std::uint64_t version, ObjectHandler handler) override
     {
-        sendCall(methods::DEL, pathOf(kind, name), makeDeleteOptions(version), std::move(handler));
+        sendCall(methods::DEL, dialect().removal(kind, name, version), std::move(handler));
     }
 
     void watchObjects(const WatchRequest &request, EventHandler onEvent, EndHandler onEnd) override
     {
         if (!m_bucket.takeToken()) {
-            onEnd(PlatformError::Throttled);
+            onEnd(StoreError::Throttled);
             return;
         }
-        const auto seconds = std::max<std::int64_t>(toMilliseconds(request.duration) / 1000, 1);
         http_request message(methods::GET);
-        message.set_request_uri(pathOf(request.kind) + "?watch=true&allowWatchBookmarks=true&resourceVersion="
-                                + std::to_string(request.version) + "&timeoutSeconds=" + std::to_string(seconds));
+        message.set_request_uri(dialect().watchPath(request));
         const auto client = std::make_shared<http_client>(m_uri, makeConfig(request.duration + m_options.watchGrace));
-        std::make_shared<WatchReader>(std::move(onEvent), std::move(onEnd))->begin(client, message, m_cancel.get_token());
+        std::make_shared<WatchReader>(m_options.dialect, request.kind, std::move(onEvent), std::move(onEnd))->begin(client, message, m_cancel.get_token());
     }
 
 private:
-    void sendCall(const method &verb, const std::string &path, const std::string &body, ObjectHandler handler)
+    const StoreDialect &dialect() const
+    {
+        return *m_options.dialect;
+    }
+
+    /// Lists page by page; the version of the first page holds for all, so that a watch from it misses nothing.
+    void listFrom(ObjectKind kind, const std::string &after, ObjectList list, ListHandler handler)
+    {
+        sendCall(methods::GET, {.path = dialect().listPath(kind, after)},
+                 [this, kind, list = std::move(list), handler = std::move(handler), token = m_cancel.get_token()](
+                     std::error_code ec, const std::string &body) mutable {
+                     auto page = ec ? std::nullopt : dialect().readPage(kind, body);
+                     if (!page) {
+                         handler(ec ? ec : make_error_code(StoreError::Malformed), {});
+                         return;
+                     }
+                     list.version = list.version == 0 ? page->list.version : list.version;
+                     std::move(page->list.objects.begin(), page->list.objects.end(), std::back_inserter(list.objects));
+                     if (page->next.empty() || token.is_canceled()) {
+                         handler({}, std::move(list));
+                         return;
+                     }
+                     listFrom(kind, page->next, std::move(list), std::move(handler));
+                 });
+    }
+
+    /// Returns a handler that brings the stored object into the form of this side.
+    ObjectHandler decodeFor(ObjectKind kind, ObjectHandler handler) const
+    {
+        return [dialect = m_options.dialect, kind, handler = std::move(handler)](std::error_code ec, const std::string &body) {
+            auto object = ec ? std::nullopt : dialect->readObject(kind, body);
+            handler(!ec && !object ? make_error_code(StoreError::Malformed) : ec, std::move(object).value_or(std::string()));
+        };
+    }
+
+    void sendCall(const method &verb, const StoreCallText &call, ObjectHandler handler)
     {
         if (!m_bucket.takeToken()) {
-            handler(PlatformError::Throttled, {});
+            handler(StoreError::Throttled, {});
             return;
         }
         http_request message(verb);
-        message.set_request_uri(path);
-        if (!body.empty()) {
-            message.set_body(body, "application/json");
+        message.set_request_uri(call.path);
+        if (!call.body.empty()) {
+            message.set_body(call.body, "application/json");
         }
         // The library sends a request again by itself when a reused connection closes, so a write gets a connection of its own.
         const auto client = verb == methods::GET ? m_client : std::make_shared<http_client>(m_uri, makeConfig(m_options.callTimeout));
@@ -253,12 +296,12 @@
                 return response.extract_string(true).then(
                     [status = response.status_code()](std::string text) { return std::make_pair(status, std::move(text)); });
             })
-            .then([handler = std::move(handler), client](const pplx::task<std::pair<web::http::status_code, std::string>> &task) {
+            .then([handler = std::move(handler), client, dialect = m_options.dialect](const pplx::task<std::pair<web::http::status_code, std::string>> &task) {
                 std::error_code ec;
                 std::string text;
                 try {
                     auto [status, answer] = task.get();
-                    ec = errorOfStatus(status, answer);
+                    ec = dialect->errorOf(status, answer);
                     text = ec ? std::string() : std::move(answer);
                 } catch (...) {
                     ec = errorOf(std::current_exception());
@@ -267,7 +310,7 @@
             });
     }
 
-    PlatformClientOptions m_options;
+    StoreClientOptions m_options;
     web::uri m_uri;
     std::shared_ptr<http_client> m_client;
     TokenBucket m_bucket;
@@ -276,10 +319,10 @@
 
 } // namespace
 
-std::unique_ptr<ObjectStore> createPlatformClient(PlatformClientOptions options)
+std::unique_ptr<ObjectStore> createStoreClient(StoreClientOptions options)
 {
     limitHttpThreads();
-    return std::make_unique<PlatformClient>(std::move(options));
+    return std::make_unique<StoreClient>(std::move(options));
 }
 
 void limitHttpThreads()
--- /dev/null
+++ b/src/store/dialect_native.cpp
@@ -0,0 +1,192 @@
+/// @file
+/// The store as docs/INTERFACES.md describes it.
+
+#include <chicoryspar/store.h>
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace chicoryspar {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kFirstError = 300;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kServerError = 500;
+
+std::optional<std::uint64_t> versionOf(const Json &object)
+{
+    if (!object.is_object() || !object.contains("metadata") || !object["metadata"].is_object()) {
+        return std::nullopt;
+    }
+    const auto text = object["metadata"].value("resourceVersion", Json());
+    if (!text.is_string()) {
+        return std::nullopt;
+    }
+    const auto digits = text.get<std::string>();
+    std::uint64_t version = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), version);
+    return ec == std::errc() && end == digits.data() + digits.size() ? std::optional(version) : std::nullopt;
+}
+
+std::string encodeName(const std::string &name)
+{
+    constexpr std::string_view kDigits = "0123456789ABCDEF";
+    std::string text;
+    for (const char c : name) {
+        const auto byte = static_cast<unsigned char>(c);
+        const bool isPlain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_';
+        if (isPlain) {
+            text += c;
+        } else {
+            text += '%';
+            text += kDigits[byte >> 4U];
+            text += kDigits[byte & 0xFU];
+        }
+    }
+    return text;
+}
+
+class NativeStore : public StoreDialect
+{
+public:
+    std::vector<ObjectKind> kinds() const override
+    {
+        return {};
+    }
+
+    bool hasDirectory() const override
+    {
+        return false;
+    }
+
+    std::string listPath(ObjectKind kind, const std::string &) const override
+    {
+        return "/apis/" + std::string(kApiVersion) + "/" + std::string(rowOf(kind).plural);
+    }
+
+    std::string objectPath(ObjectKind kind, const std::string &name) const override
+    {
+        return listPath(kind, {}) + "/" + encodeName(name);
+    }
+
+    std::string watchPath(const WatchRequest &request) const override
+    {
+        const auto seconds = std::max<std::int64_t>(toMilliseconds(request.duration) / 1000, 1);
+        return listPath(request.kind, {}) + "?watch=true&allowWatchBookmarks=true&resourceVersion=" + std::to_string(request.version)
+            + "&timeoutSeconds=" + std::to_string(seconds);
+    }
+
+    StoreCallText creation(ObjectKind kind, const std::string &object) const override
+    {
+        return {listPath(kind, {}), object};
+    }
+
+    StoreCallText replacement(ObjectKind kind, const std::string &name, const std::string &object) const override
+    {
+        return {objectPath(kind, name), object};
+    }
+
+    StoreCallText statusReplacement(ObjectKind kind, const std::string &name, const std::string &object) const override
+    {
+        return {objectPath(kind, name) + "/status", object};
+    }
+
+    StoreCallText removal(ObjectKind kind, const std::string &name, std::uint64_t version) const override
+    {
+        const Json options{
+            {"kind", "DeleteOptions"}, {"apiVersion", "v1"}, {"preconditions", {{"resourceVersion", std::to_string(version)}}}};
+        return {objectPath(kind, name), options.dump()};
+    }
+
+    std::error_code errorOf(int status, const std::string &body) const override;
+    std::optional<ObjectPage> readPage(ObjectKind kind, const std::string &body) const override;
+
+    std::optional<std::string> readObject(ObjectKind, const std::string &body) const override
+    {
+        return body;
+    }
+
+    bool streamsEvents() const override
+    {
+        return true;
+    }
+
+    std::optional<std::vector<StoreEvent>> readEvents(ObjectKind kind, const std::string &text) const override;
+};
+
+std::error_code NativeStore::errorOf(int status, const std::string &body) const
+{
+    if (status < kFirstError) {
+        return {};
+    }
+    switch (status) {
+    case kNotFound:
+        return StoreError::NotFound;
+    case kGone:
+        return StoreError::Expired;
+    case kTooManyRequests:
+        return StoreError::Throttled;
+    case kConflict: {
+        const auto json = Json::parse(body, nullptr, false);
+        const bool exists = json.is_object() && json.value("reason", Json()) == "AlreadyExists";
+        return exists ? StoreError::AlreadyExists : StoreError::Conflict;
+    }
+    default:
+        return status >= kServerError ? StoreError::Unavailable : StoreError::Invalid;
+    }
+}
+
+std::optional<ObjectPage> NativeStore::readPage(ObjectKind, const std::string &body) const
+{
+    const auto json = Json::parse(body, nullptr, false);
+    const auto version = versionOf(json);
+    if (!version || !json.contains("items") || !json["items"].is_array()) {
+        return std::nullopt;
+    }
+    ObjectPage page{.list = {.version = *version}};
+    for (const auto &it : json["items"]) {
+        page.list.objects.push_back(it.dump());
+    }
+    return page;
+}
+
+std::optional<std::vector<StoreEvent>> NativeStore::readEvents(ObjectKind, const std::string &text) const
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("type") || !json["type"].is_string() || !json.contains("object")) {
+        return std::nullopt;
+    }
+    const auto kind = findStoreEventKind(json["type"].get<std::string>());
+    const auto version = versionOf(json["object"]);
+    if (!kind || (!version && *kind != StoreEventKind::Error)) {
+        return std::nullopt;
+    }
+    return std::vector<StoreEvent>{{*kind, version.value_or(0), json["object"].dump()}};
+}
+
+} // namespace
+
+std::shared_ptr<const StoreDialect> nativeStoreDialect()
+{
+    static const auto s_dialect = std::make_shared<const NativeStore>();
+    return s_dialect;
+}
+
+std::string changeIdOf(const std::string &object)
+{
+    const auto json = Json::parse(object, nullptr, false);
+    const Json::json_pointer annotations("/metadata/annotations");
+    if (!json.is_object() || !json.contains(annotations) || !json[annotations].is_object()) {
+        return {};
+    }
+    const auto id = json[annotations].value(std::string(kChangeIdAnnotation), Json());
+    return id.is_string() ? id.get<std::string>() : std::string();
+}
+
+} // namespace chicoryspar
--- a/src/platform/errors.cpp
+++ b/src/store/errors.cpp
@@ -1,12 +1,12 @@
 /// @file
 /// Tables of the store's errors and event kinds.
 
-#include <chicoryspar/platform.h>
+#include <chicoryspar/store.h>
 
 namespace chicoryspar {
 namespace {
 
-constexpr std::array<PlatformErrorRow, static_cast<std::size_t>(PlatformError::Count)> kErrors{{
+constexpr std::array<StoreErrorRow, static_cast<std::size_t>(StoreError::Count)> kErrors{{
     {"none", "no error", false},
     {"unreachable", "the store can't be reached", true},
     {"timed-out", "the store didn't answer in time", true},
@@ -20,7 +20,7 @@
     {"throttled", "too many calls to the store", false},
 }};
 
-constexpr std::array<PlatformEventKindRow, static_cast<std::size_t>(PlatformEventKind::Count)> kEventKinds{{
+constexpr std::array<StoreEventKindRow, static_cast<std::size_t>(StoreEventKind::Count)> kEventKinds{{
     {"ADDED"},
     {"MODIFIED"},
     {"DELETED"},
@@ -28,7 +28,7 @@
     {"ERROR"},
 }};
 
-class PlatformCategory : public std::error_category
+class StoreCategory : public std::error_category
 {
 public:
     const char *name() const noexcept override
@@ -37,46 +37,46 @@
     }
     std::string message(int value) const override
     {
-        return std::string(rowOf(static_cast<PlatformError>(value)).text);
+        return std::string(rowOf(static_cast<StoreError>(value)).text);
     }
 };
 
 } // namespace
 
-const PlatformErrorRow &rowOf(PlatformError value)
+const StoreErrorRow &rowOf(StoreError value)
 {
     return kErrors.at(static_cast<std::size_t>(value));
 }
 
-const PlatformEventKindRow &rowOf(PlatformEventKind value)
+const StoreEventKindRow &rowOf(StoreEventKind value)
 {
     return kEventKinds.at(static_cast<std::size_t>(value));
 }
 
-std::optional<PlatformEventKind> findPlatformEventKind(std::string_view name)
+std::optional<StoreEventKind> findStoreEventKind(std::string_view name)
 {
     for (std::size_t n = 0; n < kEventKinds.size(); ++n) {
         if (kEventKinds[n].name == name) {
-            return static_cast<PlatformEventKind>(n);
+            return static_cast<StoreEventKind>(n);
         }
     }
     return std::nullopt;
 }
 
-const std::error_category &platformCategory()
+const std::error_category &storeCategory()
 {
-    static const PlatformCategory s_category;
+    static const StoreCategory s_category;
     return s_category;
 }
 
-std::error_code make_error_code(PlatformError value)
+std::error_code make_error_code(StoreError value)
 {
-    return {static_cast<int>(value), platformCategory()};
+    return {static_cast<int>(value), storeCategory()};
 }
 
 bool isUncertain(std::error_code ec)
 {
-    return ec.category() == platformCategory() && rowOf(static_cast<PlatformError>(ec.value())).isUncertain;
+    return ec.category() == storeCategory() && rowOf(static_cast<StoreError>(ec.value())).isUncertain;
 }
 
 } // namespace chicoryspar
--- a/src/platform/write.cpp
+++ b/src/store/write.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Blocking reads, and writes whose lost answers are resolved by reading back the change id.
 
-#include <chicoryspar/platform.h>
+#include <chicoryspar/store.h>
 
 #include <algorithm>
 #include <future>
@@ -40,14 +40,14 @@
 bool tookEffect(const WriteRequest &request, const ReadResult &read)
 {
     if (request.kind == WriteKind::Remove) {
-        return read.ec == PlatformError::NotFound;
+        return read.ec == StoreError::NotFound;
     }
     return !read.ec && changeIdOf(read.object) == request.changeId;
 }
 
 bool isRefusal(std::error_code ec)
 {
-    return ec == PlatformError::Conflict || ec == PlatformError::AlreadyExists || ec == PlatformError::NotFound;
+    return ec == StoreError::Conflict || ec == StoreError::AlreadyExists || ec == StoreError::NotFound;
 }
 
 Duration drawBackoff(Random &random, Duration backoff)
@@ -98,7 +98,7 @@
         if (isRefusal(result.ec) && !isUncertain(read.ec)) {
             return {result.ec, read.object, false};
         }
-        if (!isUncertain(result.ec) && !isRefusal(result.ec) && result.ec != PlatformError::Throttled) {
+        if (!isUncertain(result.ec) && !isRefusal(result.ec) && result.ec != StoreError::Throttled) {
             return result;
         }
     }
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -6,7 +6,7 @@
 #include "standins/platform/platform_server.h"
 
 #include "config/fields.h"
-#include "platform/listener_cpprest.h"
+#include "store/listener_cpprest.h"
 #include "standins/platform/watch_stream.h"
 
 #include <algorithm>
--- a/tests/io_ctl.cpp
+++ b/tests/io_ctl.cpp
@@ -25,7 +25,7 @@
     CtlTest()
     {
         server.open();
-        store = createPlatformClient({.address = "127.0.0.1:" + std::to_string(server.port())});
+        store = createStoreClient({.address = "127.0.0.1:" + std::to_string(server.port())});
     }
 
     CtlContext makeContext(const std::string &operatorName)
--- a/tests/io_platform.cpp
+++ b/tests/io_store.cpp
@@ -3,7 +3,7 @@
 
 #include "standins/platform/platform_server.h"
 
-#include <chicoryspar/platform.h>
+#include <chicoryspar/store.h>
 
 #include <condition_variable>
 #include <mutex>
@@ -40,9 +40,9 @@
 public:
     ObjectStore::EventHandler eventHandler()
     {
-        return [this](PlatformEvent event) {
+        return [this](StoreEvent event) {
             const std::lock_guard lock(m_mutex);
-            if (event.kind != PlatformEventKind::Bookmark) {
+            if (event.kind != StoreEventKind::Bookmark) {
                 m_events.push_back(std::move(event));
             }
             m_changed.notify_all();
@@ -56,7 +56,7 @@
             m_changed.notify_all();
         };
     }
-    std::vector<PlatformEvent> waitForEvents(std::size_t count)
+    std::vector<StoreEvent> waitForEvents(std::size_t count)
     {
         std::unique_lock lock(m_mutex);
         m_changed.wait_for(lock, 10s, [&] { return m_events.size() >= count || m_end; });
@@ -72,7 +72,7 @@
 private:
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::vector<PlatformEvent> m_events;
+    std::vector<StoreEvent> m_events;
     std::optional<std::error_code> m_end;
 };
 
@@ -82,7 +82,7 @@
     PlatformTest()
     {
         server.open();
-        client = createPlatformClient({.address = "127.0.0.1:" + std::to_string(server.port()), .callTimeout = kCallTimeout});
+        client = createStoreClient({.address = "127.0.0.1:" + std::to_string(server.port()), .callTimeout = kCallTimeout});
         options.minBackoff = 5ms;
         options.maxBackoff = 20ms;
     }
@@ -112,7 +112,7 @@
     EXPECT_EQ(parsed.object->generation, 2U);
     EXPECT_EQ(parsed.object->change.changeId, "c2");
     EXPECT_FALSE(write(makeWrite(WriteKind::Remove, 0, "c3", 2)).ec);
-    EXPECT_EQ(readObject(*client, ObjectKind::RetryPolicy, "p").ec, PlatformError::NotFound);
+    EXPECT_EQ(readObject(*client, ObjectKind::RetryPolicy, "p").ec, StoreError::NotFound);
 }
 
 TEST_F(PlatformTest, SecondOperatorSeesTheOthersChange)
@@ -120,9 +120,9 @@
     write(makeWrite(WriteKind::Create, 1, "c1"));
     EXPECT_FALSE(write(makeWrite(WriteKind::Replace, 2, "first", 1)).ec);
     const auto second = write(makeWrite(WriteKind::Replace, 3, "second", 1));
-    EXPECT_EQ(second.ec, PlatformError::Conflict);
+    EXPECT_EQ(second.ec, StoreError::Conflict);
     EXPECT_EQ(changeIdOf(second.object), "first");
-    EXPECT_EQ(write(makeWrite(WriteKind::Create, 4, "third")).ec, PlatformError::AlreadyExists);
+    EXPECT_EQ(write(makeWrite(WriteKind::Create, 4, "third")).ec, StoreError::AlreadyExists);
     EXPECT_EQ(changeIdOf(readObject(*client, ObjectKind::RetryPolicy, "p").object), "first");
 }
 
@@ -151,10 +151,10 @@
     EXPECT_FALSE(write(makeWrite(WriteKind::Create, 1, "c1")).ec);
     server.setFaults({.down = true});
     options.attempts = 3;
-    EXPECT_EQ(write(makeWrite(WriteKind::Replace, 2, "c2", 1)).ec, PlatformError::Unavailable);
+    EXPECT_EQ(write(makeWrite(WriteKind::Replace, 2, "c2", 1)).ec, StoreError::Unavailable);
     server.setFaults({.silent = true});
     options.attempts = 2;
-    EXPECT_EQ(write(makeWrite(WriteKind::Replace, 2, "c2", 1)).ec, PlatformError::TimedOut);
+    EXPECT_EQ(write(makeWrite(WriteKind::Replace, 2, "c2", 1)).ec, StoreError::TimedOut);
     server.setFaults({});
     EXPECT_EQ(changeIdOf(readObject(*client, ObjectKind::RetryPolicy, "p").object), "c1");
 }
@@ -169,9 +169,9 @@
     write(makeWrite(WriteKind::Remove, 0, "c3", 2));
     const auto events = log.waitForEvents(3);
     ASSERT_EQ(events.size(), 3U);
-    EXPECT_EQ(events[0].kind, PlatformEventKind::Added);
+    EXPECT_EQ(events[0].kind, StoreEventKind::Added);
     EXPECT_EQ(events[1].version, 2U);
-    EXPECT_EQ(events[2].kind, PlatformEventKind::Deleted);
+    EXPECT_EQ(events[2].kind, StoreEventKind::Deleted);
     EXPECT_EQ(events[2].version, 3U);
     EXPECT_EQ(log.waitForEnd(), std::optional(std::error_code()));
 }
@@ -182,11 +182,11 @@
     server.compact();
     WatchLog expired;
     client->watchObjects({.kind = ObjectKind::RetryPolicy, .version = 0, .duration = 1s}, expired.eventHandler(), expired.endHandler());
-    EXPECT_EQ(expired.waitForEnd(), std::optional(make_error_code(PlatformError::Expired)));
+    EXPECT_EQ(expired.waitForEnd(), std::optional(make_error_code(StoreError::Expired)));
     server.setFaults({.silent = true});
     WatchLog silent;
     client->watchObjects({.kind = ObjectKind::RetryPolicy, .version = 1, .duration = 1s}, silent.eventHandler(), silent.endHandler());
-    EXPECT_EQ(silent.waitForEnd(), std::optional(make_error_code(PlatformError::TimedOut)));
+    EXPECT_EQ(silent.waitForEnd(), std::optional(make_error_code(StoreError::TimedOut)));
     server.setFaults({});
     WatchLog silentLater;
     client->watchObjects({.kind = ObjectKind::RetryPolicy, .version = 1, .duration = 1s}, silentLater.eventHandler(),
@@ -194,21 +194,21 @@
     write(makeWrite(WriteKind::Replace, 2, "c2", 1));
     EXPECT_EQ(silentLater.waitForEvents(1).size(), 1U);
     server.setFaults({.silent = true});
-    EXPECT_EQ(silentLater.waitForEnd(), std::optional(make_error_code(PlatformError::TimedOut)));
+    EXPECT_EQ(silentLater.waitForEnd(), std::optional(make_error_code(StoreError::TimedOut)));
     server.setFaults({.down = true});
     WatchLog down;
     client->watchObjects({.kind = ObjectKind::RetryPolicy, .version = 1, .duration = 1s}, down.eventHandler(), down.endHandler());
-    EXPECT_EQ(down.waitForEnd(), std::optional(make_error_code(PlatformError::Unavailable)));
+    EXPECT_EQ(down.waitForEnd(), std::optional(make_error_code(StoreError::Unavailable)));
 }
 
 TEST_F(PlatformTest, CallsAreBounded)
 {
     const auto bounded =
-        createPlatformClient({.address = "127.0.0.1:" + std::to_string(server.port()), .callsPerSecond = 0.001, .burst = 2});
+        createStoreClient({.address = "127.0.0.1:" + std::to_string(server.port()), .callsPerSecond = 0.001, .burst = 2});
     EXPECT_FALSE(readObjects(*bounded, ObjectKind::Service).ec);
     EXPECT_FALSE(readObjects(*bounded, ObjectKind::Service).ec);
-    EXPECT_EQ(readObjects(*bounded, ObjectKind::Service).ec, PlatformError::Throttled);
+    EXPECT_EQ(readObjects(*bounded, ObjectKind::Service).ec, StoreError::Throttled);
     EXPECT_EQ(server.calls(CallKind::List), 2U);
-    const auto unreachable = createPlatformClient({.address = "127.0.0.1:1"});
-    EXPECT_EQ(readObjects(*unreachable, ObjectKind::Service).ec, PlatformError::Unreachable);
+    const auto unreachable = createStoreClient({.address = "127.0.0.1:1"});
+    EXPECT_EQ(readObjects(*unreachable, ObjectKind::Service).ec, StoreError::Unreachable);
 }
--- a/tools/chicorysparctl.cpp
+++ b/tools/chicorysparctl.cpp
@@ -134,7 +134,7 @@
     }
     const auto platform = valueOr(absl::GetFlag(FLAGS_platform), "CHICORYSPAR_PLATFORM");
     const auto node = valueOr(absl::GetFlag(FLAGS_node), "CHICORYSPAR_NODE");
-    const auto store = platform.empty() ? nullptr : createPlatformClient({.address = platform});
+    const auto store = platform.empty() ? nullptr : createStoreClient({.address = platform});
     const auto nodeClient = node.empty() ? nullptr : ctl::createNodeClient(node);
     Random random(static_cast<std::uint64_t>(wallNow().time_since_epoch().count()) ^ (static_cast<std::uint64_t>(getpid()) << 32));
     ctl::CtlContext context{.options = {.format = *format,
--- a/tools/chicoryspard.cpp
+++ b/tools/chicoryspard.cpp
@@ -4,6 +4,7 @@
 #include <chicoryspar/node.h>
 
 #include "node/log.h"
+#include "platform/platform.h"
 #include "program/program.h"
 
 #include <iostream>
@@ -20,12 +21,12 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitBadSettings = 2;
 
-int runNode(const chicoryspar::NodeSettings &settings)
+int runNode(const chicoryspar::NodeSettings &settings, const chicoryspar::Dialects &dialects)
 {
     chicoryspar::beginLogging(settings.logLevel, settings.logFile, settings.name);
     int status = 0;
     {
-        chicoryspar::Node node(settings);
+        chicoryspar::Node node(settings, dialects);
         const auto ec = node.start();
         if (ec) {
             chicoryspar::writeLog(chicoryspar::LogLevel::Error, "the node can't start", {{"error", ec.message()}});
@@ -53,7 +54,11 @@
         std::cerr << "--settings is needed\n";
         return kExitBadSettings;
     }
-    const auto loaded = chicoryspar::loadNodeSettings(path);
+    auto loaded = chicoryspar::loadNodeSettings(path);
+    const auto dialects = chicoryspar::findDialects(loaded.settings.platformDialect);
+    if (!dialects) {
+        loaded.findings.push_back({path + " [platform] dialect", "'" + loaded.settings.platformDialect + "' is unknown"});
+    }
     if (!loaded.findings.empty()) {
         std::cerr << toString(loaded.findings);
         return kExitBadSettings;
@@ -62,5 +67,5 @@
         std::cout << path << ": no findings\n";
         return 0;
     }
-    return runNode(loaded.settings);
+    return runNode(loaded.settings, *dialects);
 }
