--- a/src/node/http_listener.h
+++ b/src/node/http_listener.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace chicoryspar {
 
@@ -62,7 +63,7 @@
     Duration idleTimeout = std::chrono::seconds(60);
 };
 
-/// Accepts connections and serves one request at a time on each.
+/// Accepts connections and serves the requests of each side by side; answers keep the order of the requests.
 class HttpListener
 {
 public:
@@ -91,9 +92,11 @@
     struct Shared;
     class Session;
     void acceptNext();
+    void armSweep();
 
     std::shared_ptr<Shared> m_shared;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_timer;
 };
 
 } // namespace chicoryspar
--- a/src/node/http_listener_beast.cpp
+++ b/src/node/http_listener_beast.cpp
@@ -3,6 +3,8 @@
 
 #include "node/http_listener.h"
 
+#include <algorithm>
+#include <deque>
 #include <unordered_set>
 
 #include <boost/beast/core.hpp>
@@ -17,7 +19,13 @@
 
 namespace {
 
-constexpr std::size_t kReadBufferBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+/// Requests of one connection that are served at once; the rest waits in the socket.
+constexpr std::size_t kMaxPipelined = 16;
+/// How often connections are checked for being overdue.
+constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+/// How long a closing connection still reads what the caller sends.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
 
 HttpRequest toRequest(http::request<http::string_body> &message)
 {
@@ -100,126 +108,178 @@
     bool isStopping = false;
 };
 
-/// One connection of a caller.
+/// One connection of a caller. Requests are served side by side as they arrive; answers leave in the order of the requests.
 class HttpListener::Session : public std::enable_shared_from_this<Session>
 {
 public:
     Session(std::shared_ptr<Shared> shared, tcp::socket socket)
         : m_shared(std::move(shared))
-        , m_stream(std::move(socket))
+        , m_socket(std::move(socket))
+        , m_deadline(std::chrono::steady_clock::now() + m_shared->options.idleTimeout)
     {
         m_shared->sessions.insert(this);
     }
 
     ~Session()
     {
-        releaseBytes();
+        for (const auto &it : m_exchanges) {
+            release(it);
+        }
+        m_shared->budget.give(m_heldBytes);
         m_shared->sessions.erase(this);
     }
 
     void begin()
     {
         beast::error_code ec;
-        m_stream.socket().set_option(tcp::no_delay(true), ec);
-        waitForRequest();
+        m_socket.set_option(tcp::no_delay(true), ec);
+        read();
     }
 
     void refuseConnection()
     {
-        m_keepAlive = false;
-        writeResponse(m_shared->handler.refuseRequest(Reason::TooManyConnections));
+        refuse(Reason::TooManyConnections);
     }
 
     void closeIfIdle()
     {
-        if (!m_isBusy) {
+        if (m_exchanges.empty() && !m_parser) {
+            close();
+        }
+    }
+
+    void closeIfOverdue(std::chrono::steady_clock::time_point now)
+    {
+        const bool isServing = !m_exchanges.empty() && !m_isWriting;
+        if (!isServing && now >= m_deadline) {
             close();
         }
     }
 
     void close()
     {
+        m_isClosed = true;
         beast::error_code ec;
-        m_stream.socket().shutdown(tcp::socket::shutdown_both, ec);
-        m_stream.close();
+        m_socket.shutdown(tcp::socket::shutdown_both, ec);
+        m_socket.close(ec);
     }
 
 private:
-    void waitForRequest()
+    /// A request that was read, until its answer has left.
+    struct Exchange
     {
-        m_isBusy = false;
-        if (m_shared->isStopping) {
-            close();
-            return;
-        }
-        m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_shared->options.maxHeaderBytes));
-        m_parser->body_limit(m_shared->options.maxBodyBytes);
-        if (m_buf.size() > 0) {
-            readHeader();
+        std::uint64_t number = 0;
+        /// Number that the handler gave.
+        std::uint64_t request = 0;
+        std::uint64_t heldBytes = 0;
+        bool isHead = false;
+        bool isServing = false;
+        bool keepAlive = true;
+        std::optional<HttpResponse> response;
+    };
+
+    // --- Reading ---
+
+    bool isPaused() const
+    {
+        return m_isClosed || m_exchanges.size() >= kMaxPipelined;
+    }
+
+    void read()
+    {
+        if (m_isReading || isPaused()) {
             return;
         }
-        m_stream.expires_after(m_shared->options.idleTimeout);
-        m_stream.async_read_some(m_buf.prepare(kReadBufferBytes), [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+        m_isReading = true;
+        m_socket.async_read_some(m_buf.prepare(kReadBytes), [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+            self->m_isReading = false;
             self->m_buf.commit(n);
-            if (!ec) {
-                self->readHeader();
+            if (ec) {
+                self->onCallerGone();
+                return;
             }
+            self->parse();
         });
     }
 
-    void readHeader()
+    /// The caller closed the connection: nobody waits for the answers.
+    void onCallerGone()
     {
-        m_isBusy = true;
-        m_stream.expires_after(m_shared->options.transferTimeout);
-        http::async_read_header(m_stream, m_buf, *m_parser, [self = shared_from_this()](beast::error_code ec, std::size_t) {
-            if (ec) {
-                self->refuseTransfer(ec);
-                return;
+        if (m_isClosed) {
+            return;
+        }
+        const auto self = shared_from_this();
+        close();
+        for (auto &it : m_exchanges) {
+            if (it.isServing) {
+                release(it);
+                it.isServing = false;
+                it.heldBytes = 0;
+                m_shared->handler.abandonRequest(it.request);
             }
-            self->admitBody();
-        });
+        }
+    }
+
+    void parse()
+    {
+        if (m_isLast) {
+            // Read on only to see that the caller goes away.
+            m_buf.clear();
+        }
+        while (m_buf.size() > 0 && !isPaused() && !m_isLast) {
+            if (!m_parser) {
+                m_parser.emplace();
+                m_parser->header_limit(static_cast<std::uint32_t>(m_shared->options.maxHeaderBytes));
+                m_parser->body_limit(m_shared->options.maxBodyBytes);
+                m_isAdmitted = false;
+                extend(m_shared->options.transferTimeout);
+            }
+            beast::error_code ec;
+            m_buf.consume(m_parser->put(m_buf.data(), ec));
+            if (ec && ec != http::error::need_more) {
+                refuseTransfer(ec);
+                break;
+            }
+            if (m_parser->is_header_done() && !m_isAdmitted && !admitBody()) {
+                break;
+            }
+            if (m_parser->is_done()) {
+                serve();
+            } else if (ec == http::error::need_more) {
+                break;
+            }
+        }
+        read();
     }
 
-    void admitBody()
+    bool admitBody()
     {
+        m_isAdmitted = true;
         const auto length = m_parser->content_length();
         if (length && *length > m_shared->options.maxBodyBytes) {
             refuse(Reason::BodyTooLarge);
-            return;
+            return false;
         }
-        const bool isChunked = m_parser->chunked();
-        const std::uint64_t bytes = isChunked ? m_shared->options.maxBodyBytes : length.value_or(0);
+        const std::uint64_t bytes = m_parser->chunked() ? m_shared->options.maxBodyBytes : length.value_or(0);
         if (!m_shared->budget.take(bytes)) {
             refuse(Reason::MemoryLimit);
-            return;
+            return false;
         }
         m_heldBytes = bytes;
-        if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        const bool isExpecting = beast::iequals(m_parser->get()[http::field::expect], "100-continue");
+        if (isExpecting && m_exchanges.empty() && !m_parser->is_done()) {
             writeContinue();
-            return;
         }
-        readBody();
+        return true;
     }
 
     void writeContinue()
     {
         auto message = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
-        http::async_write(m_stream, *message, [self = shared_from_this(), message](beast::error_code ec, std::size_t) {
-            if (!ec) {
-                self->readBody();
-            }
-        });
-    }
-
-    void readBody()
-    {
-        http::async_read(m_stream, m_buf, *m_parser, [self = shared_from_this()](beast::error_code ec, std::size_t) {
+        http::async_write(m_socket, *message, [self = shared_from_this(), message](beast::error_code ec, std::size_t) {
             if (ec) {
-                self->refuseTransfer(ec);
-                return;
+                self->close();
             }
-            self->serve();
         });
     }
 
@@ -236,155 +296,161 @@
         }
     }
 
+    /// Answers a request that can't be read; nothing behind it can be read either.
     void refuse(Reason reason)
     {
-        m_keepAlive = false;
-        writeResponse(m_shared->handler.refuseRequest(reason));
+        m_isLast = true;
+        m_parser.reset();
+        m_exchanges.push_back({.number = ++m_lastNumber, .keepAlive = false, .response = m_shared->handler.refuseRequest(reason)});
+        write();
     }
 
+    // --- Serving ---
+
     void serve()
     {
-        m_stream.expires_never();
-        m_keepAlive = m_parser->keep_alive();
-        m_isHead = m_parser->get().method() == http::verb::head;
+        auto &exchange = m_exchanges.emplace_back();
+        exchange.number = ++m_lastNumber;
+        exchange.isHead = m_parser->get().method() == http::verb::head;
+        exchange.isServing = true;
+        exchange.keepAlive = m_parser->keep_alive();
+        exchange.heldBytes = std::exchange(m_heldBytes, 0);
+        m_isLast = !exchange.keepAlive;
         ++m_shared->requests;
-        m_isServing = true;
-        const auto id = m_shared->handler.beginRequest(toRequest(m_parser->get()), [weak = weak_from_this()](HttpResponse response) {
-            if (const auto self = weak.lock()) {
-                self->finish(std::move(response));
-            }
-        });
-        if (m_isServing) {
-            m_request = id;
-            watchForClose();
+        auto request = toRequest(m_parser->get());
+        m_parser.reset();
+        const auto number = exchange.number;
+        const auto id =
+            m_shared->handler.beginRequest(std::move(request), [weak = weak_from_this(), number](HttpResponse response) {
+                if (const auto self = weak.lock()) {
+                    self->finish(number, std::move(response));
+                }
+            });
+        if (auto *it = find(number)) {
+            it->request = id;
         }
     }
 
-    void watchForClose()
+    Exchange *find(std::uint64_t number)
     {
-        m_isWatching = true;
-        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code ec) {
-            self->m_isWatching = false;
-            if (!ec && self->m_isServing) {
-                self->checkForClose();
-            }
-        });
+        const auto it =
+            std::find_if(m_exchanges.begin(), m_exchanges.end(), [number](const Exchange &exchange) { return exchange.number == number; });
+        return it == m_exchanges.end() ? nullptr : &*it;
     }
 
-    void checkForClose()
+    void release(const Exchange &exchange)
     {
-        char byte = 0;
-        beast::error_code ec;
-        m_stream.socket().non_blocking(true, ec);
-        const auto n = m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-        if (ec == asio::error::would_block) {
-            watchForClose();
-            return;
-        }
-        if (!ec && n > 0) {
-            // The next request has arrived early; it waits in the socket until this one is answered.
-            return;
-        }
-        endServing();
-        m_shared->handler.abandonRequest(m_request);
-        close();
+        m_shared->requests -= exchange.isServing ? 1 : 0;
+        m_shared->budget.give(exchange.heldBytes);
     }
 
-    void endServing()
+    void finish(std::uint64_t number, HttpResponse response)
     {
-        m_isServing = false;
-        --m_shared->requests;
-        releaseBytes();
+        auto *exchange = find(number);
+        if (!exchange || !exchange->isServing) {
+            return;
+        }
+        release(*exchange);
+        exchange->isServing = false;
+        exchange->heldBytes = 0;
+        exchange->response = std::move(response);
+        write();
     }
 
-    void finish(HttpResponse response)
+    // --- Writing ---
+
+    void write()
     {
-        if (!m_isServing) {
+        if (m_isWriting || m_isClosed || m_exchanges.empty() || !m_exchanges.front().response) {
             return;
         }
-        endServing();
-        if (m_isWatching) {
-            beast::error_code ec;
-            m_stream.socket().cancel(ec);
+        auto &exchange = m_exchanges.front();
+        // A request that was read behind this one must still get its answer.
+        const bool mayClose = m_exchanges.size() == 1;
+        if (mayClose && (m_shared->isStopping || m_shared->isDraining)) {
+            m_isLast = true;
         }
-        writeResponse(std::move(response));
-    }
-
-    void writeResponse(HttpResponse response)
-    {
-        const bool keepAlive = m_keepAlive && !m_shared->isStopping && !m_shared->isDraining;
-        m_message = toMessage(std::move(response), keepAlive, m_isHead);
+        const bool keepAlive = !(mayClose && m_isLast);
+        m_message = toMessage(std::move(*exchange.response), keepAlive, exchange.isHead);
         m_serializer.emplace(m_message);
         m_serializer->split(false);
-        m_stream.expires_after(m_shared->options.transferTimeout);
-        if (m_isHead) {
-            http::async_write_header(m_stream, *m_serializer, [self = shared_from_this(), keepAlive](beast::error_code ec, std::size_t) {
-                self->endWrite(ec, keepAlive);
-            });
-            return;
+        m_isWriting = true;
+        extend(m_shared->options.transferTimeout);
+        const auto onWritten = [self = shared_from_this(), keepAlive](beast::error_code ec, std::size_t) { self->endWrite(ec, keepAlive); };
+        if (exchange.isHead) {
+            http::async_write_header(m_socket, *m_serializer, onWritten);
+        } else {
+            http::async_write(m_socket, *m_serializer, onWritten);
         }
-        http::async_write(m_stream, *m_serializer,
-                          [self = shared_from_this(), keepAlive](beast::error_code ec, std::size_t) { self->endWrite(ec, keepAlive); });
     }
 
     void endWrite(beast::error_code ec, bool keepAlive)
     {
-        if (!ec && keepAlive) {
-            waitForRequest();
+        m_isWriting = false;
+        m_serializer.reset();
+        m_message = {};
+        if (m_isClosed) {
             return;
         }
-        closeGracefully();
+        if (ec) {
+            onCallerGone();
+            return;
+        }
+        m_exchanges.pop_front();
+        if (!keepAlive || (m_isLast && m_exchanges.empty())) {
+            closeGracefully();
+            return;
+        }
+        extend(m_shared->options.idleTimeout);
+        write();
+        parse();
+        if (m_shared->isStopping) {
+            closeIfIdle();
+        }
     }
 
     /// Sends the end of the stream and reads what the caller still sends, so that no reset destroys the answer on its way.
     void closeGracefully()
     {
         beast::error_code ec;
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        m_socket.shutdown(tcp::socket::shutdown_send, ec);
         if (ec) {
             close();
             return;
         }
-        m_stream.expires_after(std::chrono::seconds(1));
-        discardInput();
-    }
-
-    void discardInput()
-    {
-        m_buf.clear();
-        m_stream.async_read_some(m_buf.prepare(kReadBufferBytes), [self = shared_from_this()](beast::error_code ec, std::size_t) {
-            if (ec) {
-                self->close();
-                return;
-            }
-            self->discardInput();
-        });
+        extend(kLingerTime);
+        m_isLast = true;
+        parse();
     }
 
-    void releaseBytes()
+    void extend(Duration timeout)
     {
-        m_shared->budget.give(m_heldBytes);
-        m_heldBytes = 0;
+        m_deadline = std::chrono::steady_clock::now() + timeout;
     }
 
     std::shared_ptr<Shared> m_shared;
-    beast::tcp_stream m_stream;
+    tcp::socket m_socket;
     beast::flat_buffer m_buf;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_message;
     std::optional<http::response_serializer<http::string_body>> m_serializer;
-    std::uint64_t m_request = 0;
+    std::deque<Exchange> m_exchanges;
+    std::chrono::steady_clock::time_point m_deadline;
+    std::uint64_t m_lastNumber = 0;
+    /// Bytes held for the request that is being read.
     std::uint64_t m_heldBytes = 0;
-    bool m_isBusy = false;
-    bool m_isServing = false;
-    bool m_isWatching = false;
-    bool m_isHead = false;
-    bool m_keepAlive = true;
+    bool m_isAdmitted = false;
+    bool m_isReading = false;
+    bool m_isWriting = false;
+    /// No request is read any more; the connection closes after the last answer.
+    bool m_isLast = false;
+    bool m_isClosed = false;
 };
 
 HttpListener::HttpListener(asio::io_context &io, HttpListenerOptions options, HttpHandler &handler, ByteBudget &budget)
     : m_shared(std::make_shared<Shared>(Shared{io, std::move(options), handler, budget, {}, 0, false, false}))
     , m_acceptor(io)
+    , m_timer(io)
 {
 }
 
@@ -398,10 +464,26 @@
     const auto ec = openAcceptor(m_acceptor, m_shared->options.address);
     if (!ec) {
         acceptNext();
+        armSweep();
     }
     return ec;
 }
 
+void HttpListener::armSweep()
+{
+    m_timer.expires_after(kSweepPeriod);
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (ec) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto it : std::vector<Session *>(m_shared->sessions.begin(), m_shared->sessions.end())) {
+            it->closeIfOverdue(now);
+        }
+        armSweep();
+    });
+}
+
 void HttpListener::acceptNext()
 {
     m_acceptor.async_accept([this, shared = m_shared](boost::system::error_code ec, tcp::socket socket) {
--- a/src/node/peer_connection.h
+++ b/src/node/peer_connection.h
@@ -115,6 +115,7 @@
     TimePoint m_startedAt{};
     TimePoint m_lastReceived{};
     TimePoint m_lastBusy{};
+    TimePoint m_busySince{};
     TimePoint m_lastCheck{};
     bool m_isConnected = false;
     bool m_isOpen = false;
--- a/src/node/peer_connection_asio.cpp
+++ b/src/node/peer_connection_asio.cpp
@@ -245,10 +245,13 @@
         return;
     }
     const bool isBusy = m_isWriting || !m_queue.empty() || m_callbacks.isWaiting();
-    if (isBusy) {
+    if (!isBusy) {
+        // Silence counts from the moment at which something is awaited.
+        m_busySince = now;
+    } else {
         m_lastBusy = now;
     }
-    if (m_isOpen && isBusy && now - m_lastReceived > m_options.silenceTimeout) {
+    if (m_isOpen && isBusy && now - std::max(m_lastReceived, m_busySince) > m_options.silenceTimeout) {
         close(Reason::ConnectionSilent);
         return;
     }
