--- a/include/chicoryspar/core.h
+++ b/include/chicoryspar/core.h
@@ -263,6 +263,8 @@
     std::uint16_t retryTokens = 0;
     /// Time left until the caller stops waiting.
     Duration remaining{0};
+    /// The call ranks as its root request does, whatever its depth; only the root itself is refused by an admission level.
+    bool ranksAsRoot = false;
 };
 
 constexpr std::uint8_t kMaxImportance = 15;
--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -129,8 +129,13 @@
     Rank rank;
     /// Time after which the answer is of no use.
     TimePoint deadline;
+    /// Its root request was admitted where it entered, so that no level refuses it.
+    bool isAdmittedAbove = false;
 };
 
+/// Tells whether the root request of a call was admitted where it entered.
+bool isAdmittedAbove(const CallContext &context);
+
 GateRequest makeGateRequest(TimePoint now, std::uint64_t ticket, const CallContext &context);
 
 enum class GateVerdict : std::uint8_t {
@@ -422,6 +427,8 @@
     Rank rank;
     /// Bytes of the request.
     std::uint32_t bytes = 0;
+    /// Its root request was admitted where it entered, so that no level refuses it.
+    bool isAdmittedAbove = false;
 };
 
 struct RouteDecision
--- a/src/node/entry_request.cpp
+++ b/src/node/entry_request.cpp
@@ -15,12 +15,15 @@
         context = input.parent->context;
         const Duration left = input.parent->deadline - now;
         context.remaining = std::min(left, input.fields.timeout.value_or(left));
-        context.requestClass = std::max(context.requestClass, input.method.requestClass);
+        if (!context.ranksAsRoot) {
+            context.requestClass = std::max(context.requestClass, input.method.requestClass);
+        }
         context.depth = static_cast<std::uint8_t>(std::min<int>(context.depth + 1, kMaxDepth));
         return context;
     }
     context.root = input.fields.root.value_or(input.newRoot);
     context.requestClass = input.method.requestClass;
+    context.ranksAsRoot = input.ranksAsRoot;
     context.importance = input.config.importanceOf(input.fields.caller);
     const auto budget = input.config.retryPolicyOf(input.fields.service).budget;
     const auto tokens = std::min<std::uint32_t>(budget, input.fields.retryTokens.value_or(std::numeric_limits<std::uint16_t>::max()));
--- a/src/node/entry_request.h
+++ b/src/node/entry_request.h
@@ -20,6 +20,8 @@
     std::optional<GateService::Parent> parent;
     /// Root of a request that names none.
     RequestId newRoot;
+    /// Value of CallContext::ranksAsRoot.
+    bool ranksAsRoot = false;
 };
 
 /// Returns the context of a call: that of the parent one hop down, or a new one.
--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -145,7 +145,8 @@
         // The operator's bound on the wait goes before the caller's.
         fields.timeout = std::min(fields.timeout.value_or(method.defaultTimeout), method.defaultTimeout);
     }
-    ContextInput input{fields, method, m_context.config, findParent(role, fields), makeRequestId(wallNow(), m_context.random)};
+    ContextInput input{fields, method, m_context.config, findParent(role, fields), makeRequestId(wallNow(), m_context.random),
+                       m_context.edge.usesRoutes()};
     if (role == EntryRole::Backend && !fields.parentToken.empty() && !input.parent && !fields.isParentGuessed) {
         respond(refuseAtOnce({.reason = Reason::Cancelled,
                               .outcome = refusedAs(request, Reason::Cancelled),
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -323,7 +323,7 @@
     }
     auto &call = m_calls.at(it->second);
     call.children.erase(child);
-    call.below = std::max(call.below, liftLevel(below));
+    call.below = std::max(call.below, call.request.context.ranksAsRoot ? below : liftLevel(below));
 }
 
 void GateService::setCancelChild(std::function<void(std::uint64_t)> cancel)
--- a/src/overload/gate.cpp
+++ b/src/overload/gate.cpp
@@ -40,7 +40,7 @@
     if (request.deadline - now < state.limit.serviceTime(now)) {
         return Reason::DeadlineTooShort;
     }
-    if (!enforcedLevel(state, now).admits(request.rank)) {
+    if (!request.isAdmittedAbove && !enforcedLevel(state, now).admits(request.rank)) {
         return Reason::LevelTooLow;
     }
     return Reason::None;
@@ -117,7 +117,7 @@
             reason = Reason::DeadlineTooShort;
         } else if (isOrder(call.request.rank)) {
             return false;
-        } else if (!level.admits(call.request.rank)) {
+        } else if (!call.request.isAdmittedAbove && !level.admits(call.request.rank)) {
             reason = Reason::LevelTooLow;
         } else if (sustained && now - call.queuedAt > longest) {
             reason = Reason::QueueTimeout;
@@ -176,9 +176,14 @@
 
 } // namespace
 
+bool isAdmittedAbove(const CallContext &context)
+{
+    return context.ranksAsRoot && context.depth > 0;
+}
+
 GateRequest makeGateRequest(TimePoint now, std::uint64_t ticket, const CallContext &context)
 {
-    return {ticket, makeRank(context), now + context.remaining};
+    return {ticket, makeRank(context), now + context.remaining, isAdmittedAbove(context)};
 }
 
 Gate::Gate(TimePoint now, const GateOptions &options)
--- a/src/overload/router.cpp
+++ b/src/overload/router.cpp
@@ -71,7 +71,7 @@
 
     bool admits(const Upstream &upstream) const
     {
-        return levelOf(state, upstream, now).admits(request.rank);
+        return request.isAdmittedAbove || levelOf(state, upstream, now).admits(request.rank);
     }
 
     const Upstream &draw(const Pool &from) const
@@ -132,6 +132,16 @@
         return RouteDecision{.node = upstream.candidate.node, .route = isZone ? RouteReason::OwnZone : RouteReason::OwnRegion};
     }
 
+    /// Has room, as far as is known; one that was saturated when last heard of is tried now and then.
+    bool isOpen(const Upstream &upstream) const
+    {
+        if (isSaturated(state, upstream, now)) {
+            return false;
+        }
+        const bool wasSaturated = upstream.level != Level{};
+        return !wasSaturated || now - std::max(upstream.heardAt, upstream.sentAt) >= state.options.probeInterval;
+    }
+
     bool isSpilling(const Pool &near) const
     {
         const auto saturated =
@@ -142,8 +152,9 @@
     /// Other regions, under the cap on bytes.
     std::optional<RouteDecision> chooseFar(const Pool &far, RouteReason reason, bool &isCapped) const
     {
-        const auto open = filter(usable(far), [this](const Upstream &upstream) { return !isSaturated(state, upstream, now); });
-        const auto candidates = open.size > 0 ? open : usable(far);
+        const auto open = filter(usable(far), [this](const Upstream &upstream) { return isOpen(upstream); });
+        // Where all regions are saturated, the way to another one only costs.
+        const auto candidates = open.size > 0 || reason == RouteReason::OwnRegionSaturated ? open : usable(far);
         if (candidates.size == 0) {
             return std::nullopt;
         }
@@ -282,6 +293,7 @@
         return;
     }
     ++upstream->inFlight;
+    upstream->sentAt = now;
     chargeCrossRegion(state, now, *upstream, bytes);
 }
 
@@ -302,7 +314,9 @@
     std::optional<Level> lowest;
     for (std::size_t n = 0; n < state.count; ++n) {
         const auto &upstream = state.upstreams[n];
-        if (upstream.candidate.ready && !isEjected(upstream, now)) {
+        // An upstream that this node doesn't use says nothing.
+        const bool isUsed = upstream.levelAt > TimePoint{} && now - upstream.levelAt < state.options.levelExpiry;
+        if (upstream.candidate.ready && !isEjected(upstream, now) && isUsed) {
             const auto level = levelOf(state, upstream, now);
             lowest = lowest ? std::min(*lowest, level) : level;
         }
--- a/src/overload/router_state.h
+++ b/src/overload/router_state.h
@@ -21,6 +21,7 @@
     /// Last refusal that another upstream may not share, such as a full queue.
     TimePoint refusedAt;
     TimePoint heardAt;
+    TimePoint sentAt;
     TimePoint probedAt;
     TimePoint ejectedUntil;
     std::uint32_t ejections = 0;
