--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -399,6 +399,8 @@
     /// Route of @a host with the longest prefix of @a path, or nothing.
     const RouteSpec *routeOf(std::string_view host, std::string_view path) const;
     const RoutedServiceSpec *findRoutedService(std::string_view service) const;
+    /// Shortest target latency of the routes that lead to @a service, or nothing.
+    std::optional<Duration> tightestLatency(std::string_view service) const;
     /// Limits of the route table, or the defaults.
     const TrafficLimits &trafficLimits() const;
     std::size_t size() const;
--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -67,7 +67,9 @@
 
     /// One of log4cplus's level names.
     std::string logLevel = "INFO";
-    /// Log file; empty for the standard error stream.
+    /// Lines about decisions on requests, on average a second; the rest is counted only.
+    std::uint64_t logDecisionsPerSecond = 20;
+    /// Log file; empty for the standard output.
     std::string logFile;
     /// File that receives the ports taken, one "name=port" a line; empty for none.
     std::string portsFile;
--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -111,6 +111,8 @@
     Duration queueTarget = std::chrono::milliseconds(10);
     /// Time for which the queueing delay may stay above the target.
     Duration queueInterval = std::chrono::milliseconds(100);
+    /// Highest queueing delay that the gate aims at, whatever the variation of arrivals; zero for no bound.
+    Duration maxQueueDelay{0};
     /// Places for waiting calls below the class Order; 0 takes four times the slots.
     std::uint32_t queueLength = 0;
     /// Places for waiting calls of the class Order.
--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -97,6 +97,7 @@
         target.method = MethodSpec{
             .name = route->name, .requestClass = route->requestClass(), .idempotent = route->idempotent, .defaultTimeout = route->timeout};
         target.maxRuns = route->maxAttempts;
+        target.targetLatency = route->targetLatency;
         return target;
     }
     const auto *method = m_context.config.methodOf(fields.service, request.verb, path);
@@ -187,6 +188,9 @@
     entry.requestClass = call.context.requestClass;
     entry.root = call.context.root;
     entry.service = call.service;
+    entry.requestId = m_context.edge.tokenOf(call);
+    entry.method = method.name;
+    entry.targetLatency = target.targetLatency;
     entry.respond = std::move(respond);
     if (input.parent) {
         entry.parent = fields.parentToken;
@@ -255,13 +259,37 @@
     auto entry = std::move(it->second);
     m_entries.erase(it);
     releaseParent(entry, id, answer);
-    m_context.metrics.countOutcome(entry.requestClass, answer.outcome, answer.reason, steadyNow() - entry.beganAt);
+    const auto elapsed = steadyNow() - entry.beganAt;
+    m_context.metrics.countOutcome(entry.requestClass, answer.outcome, answer.reason, elapsed);
+    logEnd(entry, answer, elapsed);
     const auto respond = std::move(entry.respond);
     if (respond) {
         respond(m_context.edge.makeResponse(entry.root, std::move(answer)));
     }
 }
 
+/// Writes a line on each request that wasn't answered in time.
+void EntryService::logEnd(const Entry &entry, const CallAnswer &answer, Duration elapsed) const
+{
+    const bool isLate = answer.outcome == Outcome::Answer && entry.targetLatency > Duration{0} && elapsed > entry.targetLatency;
+    if ((answer.outcome == Outcome::Answer && !isLate) || !takeDecisionLine()) {
+        return;
+    }
+    writeLog(LogLevel::Info, isLate ? "request answered late" : answer.outcome == Outcome::NotRun ? "request refused" : "request failed",
+             {{"request", entry.requestId},
+              {"root", toString(entry.root)},
+              {"method", entry.method},
+              {"service", entry.service},
+              {"class", std::string(rowOf(entry.requestClass).name)},
+              {"outcome", std::string(rowOf(answer.outcome).name)},
+              {"reason", std::string(rowOf(answer.reason).name)},
+              {"by", answer.node},
+              {"isChild", entry.parent.empty() ? "false" : "true"},
+              {"levelBelow", std::to_string(answer.levelBelow)},
+              {"elapsedMs", std::to_string(toMilliseconds(elapsed))},
+              {"backendMs", std::to_string(toMilliseconds(answer.serviceTime))}});
+}
+
 void EntryService::releaseParent(const Entry &entry, std::uint64_t id, const CallAnswer &answer)
 {
     if (entry.parent.empty()) {
--- a/src/node/entry_service.h
+++ b/src/node/entry_service.h
@@ -45,7 +45,11 @@
         std::string service;
         /// Token of the parent call; empty for requests of callers.
         std::string parent;
-        std::string route;
+        /// Identifier by which the caller knows the request; empty when it has none.
+        std::string requestId;
+        std::string method;
+        /// Answers beyond this are late; zero when nothing is stated.
+        Duration targetLatency{0};
         HttpHandler::Respond respond;
         std::uint64_t call = 0;
         bool isKeyed = false;
@@ -57,6 +61,7 @@
         std::string service;
         MethodSpec method;
         std::uint32_t maxRuns = 0;
+        Duration targetLatency{0};
         Reason reason = Reason::None;
     };
 
@@ -64,6 +69,7 @@
     void abandonRequest(std::uint64_t id);
     void beginCall(std::uint64_t id, Entry &entry, CallRequest request, const Target &target, TimePoint deadline);
     void onAnswer(std::uint64_t id, CallAnswer answer);
+    void logEnd(const Entry &entry, const CallAnswer &answer, Duration elapsed) const;
     void releaseParent(const Entry &entry, std::uint64_t id, const CallAnswer &answer);
     /// A refusal before any call began.
     struct Refusal
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kPollBatch = 64;
+/// Part of a route's target latency that a call may wait at one gate: a chain passes several, and some of them many times.
+constexpr int kQueueShare = 10;
 constexpr Duration kRecordInterval = std::chrono::seconds(1);
 /// Without an announcement for this long the backend server is taken for gone.
 constexpr Duration kAnnouncementTimeout = std::chrono::seconds(5);
@@ -79,6 +81,7 @@
     auto &call = m_calls[ticket];
     call.budget = RetryBudget(request.context.retryTokens);
     call.deadline = now + request.context.remaining;
+    call.offeredAt = now;
     call.request = std::move(request);
     call.handler = std::move(handler);
     const auto decision = m_gate.offer(now, gateRequest);
@@ -123,8 +126,9 @@
     });
 }
 
-void GateService::endUndispatched(TimePoint, std::uint64_t ticket, Reason reason, Duration retryAfter)
+void GateService::endUndispatched(TimePoint now, std::uint64_t ticket, Reason reason, Duration retryAfter)
 {
+    logRefusal(now, m_calls.at(ticket), reason);
     CallAnswer answer;
     answer.outcome = Outcome::NotRun;
     answer.reason = reason;
@@ -132,6 +136,27 @@
     finish(ticket, std::move(answer));
 }
 
+void GateService::logRefusal(TimePoint now, const Call &call, Reason reason) const
+{
+    if (reason == Reason::Cancelled || !takeDecisionLine()) {
+        return;
+    }
+    const auto state = m_gate.snapshot();
+    writeLog(LogLevel::Info, "call refused at the gate",
+             {{"request", m_context.edge.tokenOf(call.request)},
+              {"root", toString(call.request.context.root)},
+              {"service", call.request.service},
+              {"reason", std::string(rowOf(reason).name)},
+              {"waitedMs", std::to_string(toMilliseconds(now - call.offeredAt))},
+              {"leftMs", std::to_string(toMilliseconds(call.deadline - now))},
+              {"limit", std::to_string(state.limit)},
+              {"limitReason", std::string(rowOf(state.limitReason).name)},
+              {"running", std::to_string(state.inFlight)},
+              {"queued", std::to_string(state.queued)},
+              {"serviceMs", std::to_string(toMilliseconds(state.serviceTime))},
+              {"admissionLevel", std::to_string(state.level.value)}});
+}
+
 // --- Dispatch --------------------------------------------------------------------------------------------------------
 
 void GateService::dispatch(TimePoint, std::uint64_t ticket)
@@ -466,6 +491,9 @@
     options.queueLength = policy.queueLength;
     options.coldStart = m_announcement.coldRemaining.value_or(policy.coldStart);
     options.pushBack = policy.pushBack;
+    if (const auto target = m_context.config.tightestLatency(m_announcement.service)) {
+        options.maxQueueDelay = *target / kQueueShare;
+    }
     return options;
 }
 
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -88,6 +88,7 @@
         AnswerHandler handler;
         RetryBudget budget;
         TimePoint deadline;
+        TimePoint offeredAt;
         TimePoint dispatchedAt;
         std::uint64_t exchange = 0;
         std::string token;
@@ -98,6 +99,7 @@
     bool isOutdated(const Announcement &announcement) const;
     std::optional<Reason> refusalReason(const CallRequest &request) const;
     void dispatch(TimePoint now, std::uint64_t ticket);
+    void logRefusal(TimePoint now, const Call &call, Reason reason) const;
     void endUndispatched(TimePoint now, std::uint64_t ticket, Reason reason, Duration retryAfter);
     void onResult(std::uint64_t ticket, BackendResult result);
     void finish(std::uint64_t ticket, CallAnswer answer);
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -24,13 +24,22 @@
 
 /// Sets level and target of all log lines of this process.
 /// @param level one of log4cplus's level names
-/// @param file log file; empty for the standard error stream
+/// @param file log file; empty for the standard output, which never blocks: a line that doesn't fit is dropped
 /// @param node name written into each line
 void beginLogging(const std::string &level, const std::string &file, const std::string &node);
 
 /// Flushes and closes the log.
 void endLogging();
 
+/// Sets how many decision lines may be written a second, on average.
+void setDecisionRate(double linesPerSecond);
+
+/// Takes the place of one line about a decision on a request; call writeLog() only when it returns true.
+bool takeDecisionLine();
+
+/// Returns the number of lines that were dropped.
+std::uint64_t droppedLogLines();
+
 /// Writes one line.
 void writeLog(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
 
--- a/src/node/log_log4cplus.cpp
+++ b/src/node/log_log4cplus.cpp
@@ -3,22 +3,37 @@
 
 #include "node/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <climits>
+
+#include <log4cplus/appender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace chicoryspar {
 namespace {
 
+/// Decision lines that may be written at once after a calm time.
+constexpr double kDecisionBurst = 200;
+
 /// State of the log between beginLogging() and endLogging().
 struct LogState
 {
     std::unique_ptr<log4cplus::Initializer> initializer;
     std::string node;
+    /// Decision lines that may be written at once, and when that was last filled up.
+    double tokens = kDecisionBurst;
+    std::chrono::steady_clock::time_point filledAt;
+    double decisionsPerSecond = 0;
+    std::atomic<std::uint64_t> dropped = 0;
 };
 
 LogState g_log;
@@ -32,10 +47,37 @@
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(LogLevel::Count)> kLevelNames{"debug", "info", "warning", "error"};
 
+/// Writes lines to the standard output; a line that its reader has no room for is dropped and counted.
+class StandardOutput : public log4cplus::Appender
+{
+public:
+    ~StandardOutput() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        const auto &line = formatEvent(event);
+        pollfd target{STDOUT_FILENO, POLLOUT, 0};
+        // A pipe that is ready takes PIPE_BUF bytes at once, so the write can't block.
+        const bool fits = line.size() <= PIPE_BUF && poll(&target, 1, 0) == 1 && (target.revents & POLLOUT) != 0;
+        if (!fits || write(STDOUT_FILENO, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+            ++g_log.dropped;
+        }
+    }
+};
+
 log4cplus::SharedAppenderPtr makeAppender(const std::string &file)
 {
     if (file.empty()) {
-        return log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+        return log4cplus::SharedAppenderPtr(new StandardOutput);
     }
     return log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(file, std::ios_base::app, true));
 }
@@ -59,6 +101,30 @@
     g_log.initializer.reset();
 }
 
+void setDecisionRate(double linesPerSecond)
+{
+    g_log.decisionsPerSecond = linesPerSecond;
+}
+
+std::uint64_t droppedLogLines()
+{
+    return g_log.dropped;
+}
+
+bool takeDecisionLine()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> elapsed = now - g_log.filledAt;
+    g_log.filledAt = now;
+    g_log.tokens = std::min(kDecisionBurst, g_log.tokens + elapsed.count() * g_log.decisionsPerSecond);
+    if (g_log.tokens < 1) {
+        ++g_log.dropped;
+        return false;
+    }
+    g_log.tokens -= 1;
+    return true;
+}
+
 void writeLog(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
 {
     const auto n = static_cast<std::size_t>(level);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -115,6 +115,7 @@
 
     std::error_code start()
     {
+        setDecisionRate(static_cast<double>(m_settings.logDecisionsPerSecond));
         std::vector<std::error_code> opened{m_peers.start(), m_callers.start(), m_backend.start()};
         if (!m_settings.listenReadiness.empty()) {
             opened.push_back(m_readiness.start());
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -248,6 +248,12 @@
     KeyRow{
         .section = "stop", .key = "accept_ms", .store = storeMilliseconds, .duration = &NodeSettings::stopAcceptTime, .least = 0, .most = kDay},
     KeyRow{"log", "level", storeLevel},
+    KeyRow{.section = "log",
+           .key = "decisions_per_second",
+           .store = storeNumber,
+           .number = &NodeSettings::logDecisionsPerSecond,
+           .least = 0,
+           .most = 100'000},
     KeyRow{"log", "file", storeText, &NodeSettings::logFile},
     KeyRow{"log", "ports_file", storeText, &NodeSettings::portsFile},
 };
--- a/src/overload/gate_periods.cpp
+++ b/src/overload/gate_periods.cpp
@@ -96,7 +96,12 @@
 {
     const auto capacity = state.limit.capacity(now);
     const std::chrono::duration<double> target = state.options.queueTarget;
-    return std::max({1.0, capacity * target.count(), kVariation * std::sqrt(capacity)});
+    const auto wanted = std::max({1.0, capacity * target.count(), kVariation * std::sqrt(capacity)});
+    if (state.options.maxQueueDelay <= Duration{0}) {
+        return wanted;
+    }
+    const std::chrono::duration<double> most = state.options.maxQueueDelay;
+    return std::clamp(capacity * most.count(), 1.0, wanted);
 }
 
 bool isSustained(const GateState &state, TimePoint now)
