--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -198,7 +198,8 @@
     TrafficLimits limits;
 };
 
-using ObjectSpec = std::variant<ServiceSpec, CallerPolicySpec, OverloadPolicySpec, RetryPolicySpec, RoutePolicySpec, ContactSpec, RouteTableSpec>;
+using ObjectSpec =
+    std::variant<ServiceSpec, CallerPolicySpec, OverloadPolicySpec, RetryPolicySpec, RoutePolicySpec, ContactSpec, RouteTableSpec>;
 
 // --- Objects ---------------------------------------------------------------------------------------------------------
 
--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -322,9 +322,8 @@
 }
 
 constexpr std::array<ReadSpecFunction, static_cast<std::size_t>(ObjectKind::Count)> kReadSpec{
-    &readCheckedSpec<kServiceFields>, &readCheckedSpec<kCallerFields>, &readCheckedSpec<kOverloadFields>,
-    &readCheckedSpec<kRetryFields>,   &readCheckedSpec<kRouteFields>,  &readCheckedSpec<kContactFields>,
-    &readCheckedSpec<kRouteTableFields>,
+    &readCheckedSpec<kServiceFields>, &readCheckedSpec<kCallerFields>,  &readCheckedSpec<kOverloadFields>,   &readCheckedSpec<kRetryFields>,
+    &readCheckedSpec<kRouteFields>,   &readCheckedSpec<kContactFields>, &readCheckedSpec<kRouteTableFields>,
 };
 
 } // namespace
--- a/src/node/contact_directory.cpp
+++ b/src/node/contact_directory.cpp
@@ -103,10 +103,8 @@
 
 void ContactDirectory::list()
 {
-    std::function<void(std::error_code, std::vector<std::string>)> handler = [this](std::error_code ec,
-                                                                                    const std::vector<std::string> &contacts) {
-        onListed(ec, contacts);
-    };
+    std::function<void(std::error_code, std::vector<std::string>)> handler =
+        [this](std::error_code ec, const std::vector<std::string> &contacts) { onListed(ec, contacts); };
     m_store.store().listObjects(ObjectKind::Contact,
                                 [wrapped = m_store.wrap(std::move(handler))](std::error_code ec, const ObjectList &objects) {
                                     std::vector<std::string> addresses;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -185,7 +185,9 @@
     const auto &request = call.routed.request;
     const auto bytes = static_cast<std::uint32_t>(request.body.size());
     auto &router = serviceOf(now, request.service).router;
-    const auto decision = router.choose(now, m_context.random, RouteRequest{.rank = makeRank(request.context), .bytes = bytes, .isAdmittedAbove = isAdmittedAbove(request.context)}, call.tried);
+    const auto decision = router.choose(
+        now, m_context.random,
+        RouteRequest{.rank = makeRank(request.context), .bytes = bytes, .isAdmittedAbove = isAdmittedAbove(request.context)}, call.tried);
     if (!decision.node.isValid()) {
         refuse(id, decision.refusal, decision.retryAfter);
         return;
--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -146,7 +146,11 @@
         // The operator's bound on the wait goes before the caller's.
         fields.timeout = std::min(fields.timeout.value_or(method.defaultTimeout), method.defaultTimeout);
     }
-    ContextInput input{fields, method, m_context.config, findParent(role, fields), makeRequestId(wallNow(), m_context.random),
+    ContextInput input{fields,
+                       method,
+                       m_context.config,
+                       findParent(role, fields),
+                       makeRequestId(wallNow(), m_context.random),
                        m_context.edge.usesRoutes()};
     if (role == EntryRole::Backend && !fields.parentToken.empty() && !input.parent && !fields.isParentGuessed) {
         respond(refuseAtOnce({.reason = Reason::Cancelled,
@@ -275,7 +279,10 @@
     if ((answer.outcome == Outcome::Answer && !isLate) || !takeDecisionLine()) {
         return;
     }
-    writeLog(LogLevel::Info, isLate ? "request answered late" : answer.outcome == Outcome::NotRun ? "request refused" : "request failed",
+    writeLog(LogLevel::Info,
+             isLate                                  ? "request answered late"
+                 : answer.outcome == Outcome::NotRun ? "request refused"
+                                                     : "request failed",
              {{"request", entry.requestId},
               {"root", toString(entry.root)},
               {"method", entry.method},
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -31,11 +31,12 @@
 
 GateService::GateService(NodeContext &context)
     : m_context(context)
-    , m_backend(context.io,
-                BackendClientOptions{
-                    .correlationOf = [&edge = context.edge](const auto &headers) { return edge.correlationOf(headers); },
-                    .isAnswerTo = [&edge = context.edge](const auto &correlation, const auto &it) { return edge.isAnswerTo(correlation, it); },
-                })
+    , m_backend(
+          context.io,
+          BackendClientOptions{
+              .correlationOf = [&edge = context.edge](const auto &headers) { return edge.correlationOf(headers); },
+              .isAnswerTo = [&edge = context.edge](const auto &correlation, const auto &it) { return edge.isAnswerTo(correlation, it); },
+          })
     , m_gate(steadyNow(), GateOptions{})
     , m_timer(context.io)
 {
--- a/src/node/http_listener_beast.cpp
+++ b/src/node/http_listener_beast.cpp
@@ -320,12 +320,11 @@
         auto request = toRequest(m_parser->get());
         m_parser.reset();
         const auto number = exchange.number;
-        const auto id =
-            m_shared->handler.beginRequest(std::move(request), [weak = weak_from_this(), number](HttpResponse response) {
-                if (const auto self = weak.lock()) {
-                    self->finish(number, std::move(response));
-                }
-            });
+        const auto id = m_shared->handler.beginRequest(std::move(request), [weak = weak_from_this(), number](HttpResponse response) {
+            if (const auto self = weak.lock()) {
+                self->finish(number, std::move(response));
+            }
+        });
         if (auto *it = find(number)) {
             it->request = id;
         }
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -245,8 +245,12 @@
            .most = 4096 * kMebibyte},
     KeyRow{
         .section = "stop", .key = "drain_ms", .store = storeMilliseconds, .duration = &NodeSettings::drainTime, .least = 0, .most = kDay},
-    KeyRow{
-        .section = "stop", .key = "accept_ms", .store = storeMilliseconds, .duration = &NodeSettings::stopAcceptTime, .least = 0, .most = kDay},
+    KeyRow{.section = "stop",
+           .key = "accept_ms",
+           .store = storeMilliseconds,
+           .duration = &NodeSettings::stopAcceptTime,
+           .least = 0,
+           .most = kDay},
     KeyRow{"log", "level", storeLevel},
     KeyRow{.section = "log",
            .key = "decisions_per_second",
--- a/src/store/client_cpprest.cpp
+++ b/src/store/client_cpprest.cpp
@@ -238,7 +238,8 @@
         http_request message(methods::GET);
         message.set_request_uri(dialect().watchPath(request));
         const auto client = std::make_shared<http_client>(m_uri, makeConfig(request.duration + m_options.watchGrace));
-        std::make_shared<WatchReader>(m_options.dialect, request.kind, std::move(onEvent), std::move(onEnd))->begin(client, message, m_cancel.get_token());
+        std::make_shared<WatchReader>(m_options.dialect, request.kind, std::move(onEvent), std::move(onEnd))
+            ->begin(client, message, m_cancel.get_token());
     }
 
 private:
@@ -251,8 +252,8 @@
     void listFrom(ObjectKind kind, const std::string &after, ObjectList list, ListHandler handler)
     {
         sendCall(methods::GET, {.path = dialect().listPath(kind, after)},
-                 [this, kind, list = std::move(list), handler = std::move(handler), token = m_cancel.get_token()](
-                     std::error_code ec, const std::string &body) mutable {
+                 [this, kind, list = std::move(list), handler = std::move(handler),
+                  token = m_cancel.get_token()](std::error_code ec, const std::string &body) mutable {
                      auto page = ec ? std::nullopt : dialect().readPage(kind, body);
                      if (!page) {
                          handler(ec ? ec : make_error_code(StoreError::Malformed), {});
@@ -296,7 +297,8 @@
                 return response.extract_string(true).then(
                     [status = response.status_code()](std::string text) { return std::make_pair(status, std::move(text)); });
             })
-            .then([handler = std::move(handler), client, dialect = m_options.dialect](const pplx::task<std::pair<web::http::status_code, std::string>> &task) {
+            .then([handler = std::move(handler), client,
+                   dialect = m_options.dialect](const pplx::task<std::pair<web::http::status_code, std::string>> &task) {
                 std::error_code ec;
                 std::string text;
                 try {
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -6,8 +6,8 @@
 #include "standins/platform/platform_server.h"
 
 #include "config/fields.h"
-#include "store/listener_cpprest.h"
 #include "standins/platform/watch_stream.h"
+#include "store/listener_cpprest.h"
 
 #include <algorithm>
 #include <atomic>
--- a/tests/io_membership.cpp
+++ b/tests/io_membership.cpp
@@ -21,7 +21,8 @@
     TestNode(asio::io_context &io, const std::string &name, const std::string &key, const std::vector<std::string> &seeds)
         : settings{.name = name, .region = "maine-north", .zone = "a", .seeds = seeds, .fleetKey = key}
         , acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
-        , context(io, settings, static_cast<std::uint64_t>(toMilliseconds(wallNow().time_since_epoch())), hashBytes(name))
+        , context(io, settings, *nativeEdgeDialect(), static_cast<std::uint64_t>(toMilliseconds(wallNow().time_since_epoch())),
+                  hashBytes(name))
         , driver(context)
     {
         // The TCP port of the same number stays taken, as in a node.
--- a/tests/io_store.cpp
+++ b/tests/io_store.cpp
@@ -203,8 +203,7 @@
 
 TEST_F(PlatformTest, CallsAreBounded)
 {
-    const auto bounded =
-        createStoreClient({.address = "127.0.0.1:" + std::to_string(server.port()), .callsPerSecond = 0.001, .burst = 2});
+    const auto bounded = createStoreClient({.address = "127.0.0.1:" + std::to_string(server.port()), .callsPerSecond = 0.001, .burst = 2});
     EXPECT_FALSE(readObjects(*bounded, ObjectKind::Service).ec);
     EXPECT_FALSE(readObjects(*bounded, ObjectKind::Service).ec);
     EXPECT_EQ(readObjects(*bounded, ObjectKind::Service).ec, StoreError::Throttled);
