Planned stop ends at once; all nodes of a zone may watch the store; pulls from a stopping peer fail sooner

Cause of 17 processes killed at the end of the grace time: the log library joins its thread pool for ever.

--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -35,6 +35,8 @@
     std::string platformAddress;
     /// Name of the dialect of store, callers and backend servers.
     std::string platformDialect = "native";
+    /// Nodes of each zone that watch the store; the others learn of changes from peers.
+    std::uint64_t watchersPerZone = 2;
     /// Peer addresses of nodes for the first contact.
     std::vector<std::string> seeds;
     /// Shared key of all nodes, as raw bytes; empty when peers aren't authenticated.
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -29,8 +29,8 @@
     /// Members that don't watch list everything once in this time for each member, so that the fleet's rate stays constant.
     Duration auditPerMember = std::chrono::seconds(2);
     Duration minAuditPeriod = std::chrono::seconds(20);
-    /// A pull that takes longer has failed.
-    Duration pullTimeout = std::chrono::seconds(2);
+    /// A pull that takes longer has failed: a peer that stops meanwhile must not hold up the next one.
+    Duration pullTimeout = std::chrono::milliseconds(600);
     /// Bytes of objects in one answer to a pull; at least one object is sent.
     std::size_t maxPullBytes = 512 * 1024;
 };
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -28,9 +28,6 @@
 /// @param node name written into each line
 void beginLogging(const std::string &level, const std::string &file, const std::string &node);
 
-/// Flushes and closes the log.
-void endLogging();
-
 /// Sets how many decision lines may be written a second, on average.
 void setDecisionRate(double linesPerSecond);
 
--- a/src/node/log_log4cplus.cpp
+++ b/src/node/log_log4cplus.cpp
@@ -95,12 +95,6 @@
     root.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
 }
 
-void endLogging()
-{
-    log4cplus::Logger::shutdown();
-    g_log.initializer.reset();
-}
-
 void setDecisionRate(double linesPerSecond)
 {
     g_log.decisionsPerSecond = linesPerSecond;
--- a/tools/chicoryspard.cpp
+++ b/tools/chicoryspard.cpp
@@ -7,6 +7,7 @@
 #include "platform/platform.h"
 #include "program/program.h"
 
+#include <cstdlib>
 #include <iostream>
 
 #include <absl/flags/flag.h>
@@ -21,22 +22,20 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitBadSettings = 2;
 
-int runNode(const chicoryspar::NodeSettings &settings, const chicoryspar::Dialects &dialects)
+[[noreturn]] void runNode(const chicoryspar::NodeSettings &settings, const chicoryspar::Dialects &dialects)
 {
     chicoryspar::beginLogging(settings.logLevel, settings.logFile, settings.name);
     int status = 0;
-    {
-        chicoryspar::Node node(settings, dialects);
-        const auto ec = node.start();
-        if (ec) {
-            chicoryspar::writeLog(chicoryspar::LogLevel::Error, "the node can't start", {{"error", ec.message()}});
-            status = kExitFailure;
-        } else {
-            node.run();
-        }
+    chicoryspar::Node node(settings, dialects);
+    const auto ec = node.start();
+    if (ec) {
+        chicoryspar::writeLog(chicoryspar::LogLevel::Error, "the node can't start", {{"error", ec.message()}});
+        status = kExitFailure;
+    } else {
+        node.run();
     }
-    chicoryspar::endLogging();
-    return status;
+    // The libraries of HTTP and logs join their threads first, which may take as long as a watch; every line is written by now.
+    std::_Exit(status);
 }
 
 } // namespace
@@ -67,5 +66,5 @@
         std::cout << path << ": no findings\n";
         return 0;
     }
-    return runNode(loaded.settings, *dialects);
+    runNode(loaded.settings, *dialects);
 }
