--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -133,6 +133,8 @@
     TimePoint deadline;
     /// Its root request was admitted where it entered, so that no level refuses it.
     bool isAdmittedAbove = false;
+    /// Time below which the backend server can't answer such a call; zero for the usual service time of all calls.
+    Duration leastTime{0};
 };
 
 /// Tells whether the root request of a call was admitted where it entered.
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -20,6 +20,12 @@
     return static_cast<std::uint32_t>(hashBytes(name));
 }
 
+/// An entry node of a routed installation sees few requests of each route: what it was told must hold until the next answer, and
+/// probes of all entry nodes together must stay a small share of the traffic.
+constexpr LevelCacheOptions kRouteLevels{.expiry = std::chrono::seconds(3),
+                                         .orderExpiry = std::chrono::seconds(1),
+                                         .probeInterval = std::chrono::seconds(1)};
+
 /// Attempts at a call that no backend server saw.
 constexpr std::uint32_t kMaxAttempts = 6;
 
@@ -82,6 +88,7 @@
 Dispatcher::Dispatcher(NodeContext &context)
     : m_context(context)
     , m_ratio(steadyNow())
+    , m_levels(context.edge.usesRoutes() ? kRouteLevels : LevelCacheOptions{})
 {
     context.membersChanged.connect([this](TimePoint now) { refreshRouters(now); });
     context.configChanged.connect([this](TimePoint now) { refreshRouters(now); });
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -14,6 +14,13 @@
 constexpr std::size_t kPollBatch = 64;
 /// Part of a route's target latency that a call may wait at one gate: a chain passes several, and some of them many times.
 constexpr int kQueueShare = 10;
+/// Part of the usual service time of a route below which a call can't be answered in time, in percent.
+constexpr int kLeastPercent = 60;
+constexpr int kPercent = 100;
+/// Answers over which the usual service time of a route is averaged.
+constexpr int kServiceSamples = 20;
+/// Routes whose service times are kept.
+constexpr std::size_t kMaxMethods = 256;
 constexpr Duration kRecordInterval = std::chrono::seconds(1);
 /// Without an announcement for this long the backend server is taken for gone.
 constexpr Duration kAnnouncementTimeout = std::chrono::seconds(5);
@@ -78,8 +85,12 @@
         return 0;
     }
     const auto ticket = ++m_lastTicket;
-    const auto gateRequest = makeGateRequest(now, ticket, request.context);
+    auto gateRequest = makeGateRequest(now, ticket, request.context);
     auto &call = m_calls[ticket];
+    call.method = methodOf(request);
+    if (const auto usual = m_serviceTimes.find(call.method); usual != m_serviceTimes.end()) {
+        gateRequest.leastTime = usual->second * kLeastPercent / kPercent;
+    }
     call.budget = RetryBudget(request.context.retryTokens);
     call.deadline = now + request.context.remaining;
     call.offeredAt = now;
@@ -248,6 +259,9 @@
         answer.body = std::move(result.response.body);
         gateResult = GateResult::Success;
     }
+    if (answer.outcome == Outcome::Answer) {
+        noteServiceTime(call, answer.serviceTime);
+    }
     if (result.reason == Reason::Cancelled) {
         m_gate.cancel(now, ticket);
     } else {
@@ -257,6 +271,28 @@
     pollGate(now);
 }
 
+std::string GateService::methodOf(const CallRequest &request) const
+{
+    if (!m_context.edge.usesRoutes()) {
+        return {};
+    }
+    const auto host = findHeader(request.headers, "Host").value_or("");
+    const auto *route = m_context.config.routeOf(host.substr(0, host.find(':')), pathOf(request.target));
+    return route ? route->name : std::string();
+}
+
+void GateService::noteServiceTime(const Call &call, Duration sample)
+{
+    if (call.method.empty()) {
+        return;
+    }
+    if (m_serviceTimes.size() >= kMaxMethods && !m_serviceTimes.contains(call.method)) {
+        m_serviceTimes.clear();
+    }
+    auto &usual = m_serviceTimes.try_emplace(call.method, sample).first->second;
+    usual += (sample - usual) / kServiceSamples;
+}
+
 void GateService::finish(std::uint64_t ticket, CallAnswer answer)
 {
     const auto it = m_calls.find(ticket);
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -92,10 +92,14 @@
         TimePoint dispatchedAt;
         std::uint64_t exchange = 0;
         std::string token;
+        /// Route that the call came by; empty for none.
+        std::string method;
         std::unordered_set<std::uint64_t> children;
         Level below;
     };
 
+    std::string methodOf(const CallRequest &request) const;
+    void noteServiceTime(const Call &call, Duration sample);
     bool isOutdated(const Announcement &announcement) const;
     std::optional<Reason> refusalReason(const CallRequest &request) const;
     void dispatch(TimePoint now, std::uint64_t ticket);
@@ -130,6 +134,7 @@
     std::unordered_map<std::uint64_t, Call> m_calls;
     std::unordered_map<std::string, std::uint64_t> m_tokens;
     std::uint64_t m_lastTicket = 0;
+    std::unordered_map<std::string, Duration> m_serviceTimes;
     GateSnapshot m_recorded;
     TimePoint m_recordedAt{};
 };
--- a/src/node/http_listener_beast.cpp
+++ b/src/node/http_listener_beast.cpp
@@ -519,6 +519,7 @@
 
 void HttpListener::closeAll()
 {
+    m_timer.cancel();
     m_shared->isStopping = true;
     boost::system::error_code ec;
     m_acceptor.close(ec);
--- a/src/overload/gate.cpp
+++ b/src/overload/gate.cpp
@@ -31,13 +31,18 @@
     return capacity > 0 ? Duration(static_cast<std::int64_t>(waiting / capacity * 1e6)) : Duration{0};
 }
 
+Duration leastTime(const GateState &state, TimePoint now, const GateRequest &request)
+{
+    return request.leastTime > Duration{0} ? request.leastTime : state.limit.serviceTime(now);
+}
+
 /// Decides on a call without a look at the queue; None admits it to the queue.
 Reason judge(const GateState &state, TimePoint now, const GateRequest &request)
 {
     if (request.deadline <= now) {
         return Reason::DeadlineExpired;
     }
-    if (request.deadline - now < state.limit.serviceTime(now)) {
+    if (request.deadline - now < leastTime(state, now, request)) {
         return Reason::DeadlineTooShort;
     }
     if (!request.isAdmittedAbove && !enforcedLevel(state, now).admits(request.rank)) {
@@ -107,13 +112,12 @@
 {
     const bool sustained = isSustained(state, now);
     const auto longest = patience(state, now);
-    const auto service = state.limit.serviceTime(now);
     const auto level = enforcedLevel(state, now);
     const auto refuseIfDue = [&](const WaitingCall &call) {
         auto reason = Reason::None;
         if (call.request.deadline <= now) {
             reason = Reason::DeadlineExpired;
-        } else if (call.request.deadline - now < service) {
+        } else if (call.request.deadline - now < leastTime(state, now, call.request)) {
             reason = Reason::DeadlineTooShort;
         } else if (isOrder(call.request.rank)) {
             return false;
@@ -183,7 +187,7 @@
 
 GateRequest makeGateRequest(TimePoint now, std::uint64_t ticket, const CallContext &context)
 {
-    return {ticket, makeRank(context), now + context.remaining, isAdmittedAbove(context)};
+    return {.ticket = ticket, .rank = makeRank(context), .deadline = now + context.remaining, .isAdmittedAbove = isAdmittedAbove(context)};
 }
 
 Gate::Gate(TimePoint now, const GateOptions &options)
