--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -248,6 +248,8 @@
     Duration orderExpiry = std::chrono::milliseconds(300);
     /// Longest time without an answer before one refused call is let through.
     Duration probeInterval = std::chrono::milliseconds(100);
+    /// Weight of one answer in the share of a key's calls that is refused; 1 takes over each level as it is.
+    double weight = 1;
 };
 
 /// Remembers the levels that came back on answers, by a key such as the hash of service and method, so that an entry node refuses
@@ -258,7 +260,8 @@
     explicit LevelCache(const LevelCacheOptions &options = {});
 
     /// Records the level that an answer carried.
-    void record(TimePoint now, std::uint64_t key, Level level);
+    /// @param rank of the call that was answered, for a weight under 1; all calls of one key rank alike but for their roots
+    void record(TimePoint now, std::uint64_t key, Level level, Rank rank = {});
 
     /// Tells whether a call may go on; a refusal has the reason EntryLevel. Lets single calls through as probes.
     bool admit(TimePoint now, std::uint64_t key, Rank rank);
@@ -271,6 +274,8 @@
     {
         std::uint64_t key = 0;
         Level level;
+        /// Share of the calls below the level, averaged over answers.
+        double refusedShare = 0;
         TimePoint updatedAt;
         TimePoint probedAt;
     };
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -24,7 +24,8 @@
 /// probes of all entry nodes together must stay a small share of the traffic.
 constexpr LevelCacheOptions kRouteLevels{.expiry = std::chrono::seconds(3),
                                          .orderExpiry = std::chrono::seconds(1),
-                                         .probeInterval = std::chrono::seconds(1)};
+                                         .probeInterval = std::chrono::seconds(1),
+                                         .weight = 0.2};
 
 /// Attempts at a call that no backend server saw.
 constexpr std::uint32_t kMaxAttempts = 6;
@@ -241,7 +242,7 @@
     if (answer.hasLevels) {
         result.level = Level{answer.level};
         call.levelBelow = std::max(call.levelBelow, Level{answer.levelBelow});
-        m_levels.record(now, call.routed.methodKey, Level{answer.levelBelow});
+        m_levels.record(now, call.routed.methodKey, Level{answer.levelBelow}, makeRank(call.routed.request.context));
     }
     serviceOf(now, service).router.onResult(now, call.node, result);
     if (answer.tokensReturned) {
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -29,6 +29,14 @@
 /// Siblings among which a running call shares its retry tokens.
 constexpr std::uint16_t kTokenShare = 2;
 
+/// Returns the class that a level cuts, and the share of its lowest ranks that it refuses.
+std::string toText(Level level)
+{
+    // The lower 20 bits of a rank are the hash of its root.
+    constexpr std::uint32_t kHashSpan = 1U << 20U;
+    return std::string(rowOf(classOf(level)).name) + "+" + std::to_string(level.value % kHashSpan * std::uint64_t{kPercent} / kHashSpan) + "%";
+}
+
 std::string makeToken(Random &random)
 {
     return toString(RequestId{random(), random()});
@@ -557,6 +565,20 @@
     if (snapshot.level != m_recorded.level) {
         m_context.recordEvent(Event{.kind = EventKind::LevelChanged, .service = m_announcement.service, .value = snapshot.level.value});
     }
+    if (snapshot.limit != m_recorded.limit || snapshot.level != m_recorded.level) {
+        writeLog(LogLevel::Info, "gate changed",
+                 {{"service", m_announcement.service},
+                  {"limit", std::to_string(snapshot.limit)},
+                  {"limitReason", std::string(rowOf(snapshot.limitReason).name)},
+                  {"running", std::to_string(snapshot.inFlight)},
+                  {"queued", std::to_string(snapshot.queued)},
+                  {"queuedOrders", std::to_string(snapshot.queuedOrders)},
+                  {"queueingMs", std::to_string(toMilliseconds(snapshot.queueingDelay))},
+                  {"serviceMs", std::to_string(toMilliseconds(snapshot.serviceTime))},
+                  {"capacity", std::to_string(snapshot.capacity)},
+                  {"admitted", std::to_string(snapshot.admitted)},
+                  {"admissionLevel", toText(snapshot.level)}});
+    }
     m_recorded = snapshot;
     m_recordedAt = now;
 }
--- a/src/overload/level_cache.cpp
+++ b/src/overload/level_cache.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "overload/rank_layout.h"
+
 namespace chicoryspar {
 
 LevelCache::LevelCache(const LevelCacheOptions &options)
@@ -27,7 +29,7 @@
     return now - entry.updatedAt < expiry ? entry.level : Level{};
 }
 
-void LevelCache::record(TimePoint now, std::uint64_t key, Level level)
+void LevelCache::record(TimePoint now, std::uint64_t key, Level level, Rank rank)
 {
     auto *entry = const_cast<Entry *>(find(key));
     if (!entry) {
@@ -35,7 +37,11 @@
         entry = &*std::min_element(first, first + kWays, [](const Entry &a, const Entry &b) { return a.updatedAt < b.updatedAt; });
         *entry = {.key = key};
     }
-    entry->level = level;
+    if (levelOf(now, *entry) == Level{}) {
+        entry->refusedShare = now - entry->updatedAt < m_options.expiry ? entry->refusedShare : 0;
+    }
+    entry->refusedShare += (refusedShare(level, rank) - entry->refusedShare) * m_options.weight;
+    entry->level = m_options.weight < 1 ? levelAt(entry->refusedShare, rank) : level;
     entry->updatedAt = now;
 }
 
