--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -62,6 +62,9 @@
     /// Bytes of kept answers.
     std::uint64_t maxKeyBytes = 24 * 1024 * 1024;
 
+    /// Bytes of events that are kept for the time line.
+    std::uint64_t maxEventBytes = 1024 * 1024;
+
     /// Longest time that a planned stop waits for calls in flight.
     Duration drainTime = std::chrono::seconds(10);
     /// How long a planned stop still accepts requests of callers, which need that long to notice it.
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -15,7 +15,7 @@
     , self(makeNodeId(nodeSettings.name))
     , boot(bootTime)
     , random(seed)
-    , events(EventBufferOptions{.node = nodeSettings.name, .boot = bootTime})
+    , events(EventBufferOptions{.node = nodeSettings.name, .boot = bootTime, .maxBytes = nodeSettings.maxEventBytes})
 {
 }
 
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::size_t kPollBatch = 64;
+/// Places for waiting orders: more than can be run before their callers give up.
+constexpr std::uint32_t kOrderPlacesPerSlot = 32;
+constexpr std::uint32_t kMinOrderPlaces = 256;
 /// Part of a route's target latency that a call may wait at one gate: a chain passes several, and some of them many times.
 constexpr int kQueueShare = 10;
 /// Part of the usual service time of a route below which a call can't be answered in time, in percent.
@@ -534,6 +537,7 @@
     options.queueTarget = policy.queueTarget;
     options.queueInterval = policy.queueInterval;
     options.queueLength = policy.queueLength;
+    options.orderQueueLength = std::clamp(m_announcement.slots * kOrderPlacesPerSlot, kMinOrderPlaces, options.orderQueueLength);
     options.coldStart = m_announcement.coldRemaining.value_or(policy.coldStart);
     options.pushBack = policy.pushBack;
     if (const auto target = m_context.config.tightestLatency(m_announcement.service)) {
--- a/src/node/http_listener_beast.cpp
+++ b/src/node/http_listener_beast.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 4 * 1024;
 /// Requests of one connection that are served at once; the rest waits in the socket.
 constexpr std::size_t kMaxPipelined = 16;
 /// How often connections are checked for being overdue.
--- a/src/node/membership_driver.cpp
+++ b/src/node/membership_driver.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t kReceiveBytes = 64 * 1024;
+constexpr std::size_t kReceiveBytes = 2 * kMaxMessageBytes;
 /// Clocks that are too far ahead are reported once in this time.
 constexpr Duration kSkewEventPeriod = std::chrono::minutes(1);
 
--- a/src/node/peer_connection_asio.cpp
+++ b/src/node/peer_connection_asio.cpp
@@ -18,7 +18,10 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 64 * 1024;
+/// Every connection holds a buffer of this size, and a node has one to and from each other node.
+constexpr std::size_t kReadBytes = 8 * 1024;
+/// Frames that are handed to the socket at once.
+constexpr std::size_t kWriteBytes = 64 * 1024;
 constexpr std::size_t kMaxHandshakeFrame = 4096;
 
 } // namespace
@@ -113,7 +116,7 @@
         m_writing += it;
     }
     m_handshakeQueue.clear();
-    while (m_isOpen && !m_queue.empty() && m_writing.size() < kReadBytes) {
+    while (m_isOpen && !m_queue.empty() && m_writing.size() < kWriteBytes) {
         m_writing += m_queue.front().bytes;
         m_queuedBytes -= m_queue.front().bytes.size();
         m_firstUnsent = m_queue.front().number + 1;
--- a/src/store/client_cpprest.cpp
+++ b/src/store/client_cpprest.cpp
@@ -22,7 +22,7 @@
 using web::http::client::http_client;
 using web::http::client::http_client_config;
 
-constexpr std::size_t kHttpThreads = 4;
+constexpr std::size_t kHttpThreads = 2;
 constexpr double kSecond = 1e6;
 /// Bytes of one event of a watch, with room for its envelope.
 constexpr std::size_t kMaxLineBytes = kMaxObjectBytes + 4096;
