--- a/include/chicoryspar/membership.h
+++ b/include/chicoryspar/membership.h
@@ -244,6 +244,8 @@
     MemberInfo self;
     /// Addresses of first contact.
     std::vector<std::string> contacts;
+    /// Chance that a member of another region is taken when it is drawn for a probe or a push: the way there is billed by volume.
+    double otherRegionChance = 1;
     /// Each member probes one other in each period.
     Duration probePeriod = std::chrono::milliseconds(1000);
     /// After this without an acknowledgement, helpers are asked.
--- a/src/membership/membership_gossip.cpp
+++ b/src/membership/membership_gossip.cpp
@@ -9,6 +9,9 @@
 namespace chicoryspar {
 namespace {
 
+/// Draws that choose among regions before any member is taken.
+constexpr std::size_t kMaxDraws = 64;
+
 /// Returns up to @a count different present members.
 std::vector<NodeId> drawOthers(const MembershipCall &call, std::size_t count)
 {
@@ -17,9 +20,10 @@
         return others;
     }
     std::vector<NodeId> drawn;
-    while (drawn.size() < count) {
+    for (std::size_t n = 0; drawn.size() < count; ++n) {
         const auto id = others[drawBelow(call.random, others.size())];
-        if (std::find(drawn.begin(), drawn.end(), id) == drawn.end()) {
+        const bool isTaken = n >= kMaxDraws || acceptsRegion(call, id);
+        if (isTaken && std::find(drawn.begin(), drawn.end(), id) == drawn.end()) {
             drawn.push_back(id);
         }
     }
@@ -57,6 +61,14 @@
 
 } // namespace
 
+bool acceptsRegion(const MembershipCall &call, NodeId id)
+{
+    const auto &view = call.state.view;
+    const bool isNear = view.members.at(id).info.region == view.members.at(view.self).info.region;
+    const auto chance = call.state.options.otherRegionChance;
+    return isNear || chance >= 1 || drawUnit(call.random) < chance;
+}
+
 Duration jittered(Duration period, Random &random)
 {
     constexpr double kJitter = 0.1;
--- a/src/membership/membership_probe.cpp
+++ b/src/membership/membership_probe.cpp
@@ -45,7 +45,7 @@
         const auto id = state.probeOrder.back();
         state.probeOrder.pop_back();
         const auto it = state.view.members.find(id);
-        if (it != state.view.members.end() && it->second.isPresent()) {
+        if (it != state.view.members.end() && it->second.isPresent() && acceptsRegion(call, id)) {
             return id;
         }
     }
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -88,6 +88,9 @@
     OutgoingMessages &out;
 };
 
+/// Tells whether a member that was drawn is taken; one of another region is only now and then.
+bool acceptsRegion(const MembershipCall &call, NodeId id);
+
 /// Returns @a period shortened or lengthened by up to a tenth.
 Duration jittered(Duration period, Random &random);
 
--- a/src/node/membership_driver.cpp
+++ b/src/node/membership_driver.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+/// Members of the own region find out first that one is gone; the news needs a few ways to the other regions only.
+constexpr double kOtherRegionChance = 0.25;
 constexpr std::size_t kReceiveBytes = 2 * kMaxMessageBytes;
 /// Clocks that are too far ahead are reported once in this time.
 constexpr Duration kSkewEventPeriod = std::chrono::minutes(1);
@@ -80,7 +82,8 @@
     self.boot = m_context.boot;
     const auto now = steadyNow();
     m_membership =
-        std::make_unique<Membership>(MembershipOptions{.self = self, .contacts = m_context.settings.seeds}, now, m_context.random);
+        std::make_unique<Membership>(MembershipOptions{
+                                         .self = self, .contacts = m_context.settings.seeds, .otherRegionChance = kOtherRegionChance}, now, m_context.random);
     m_context.membership = m_membership.get();
     receive();
     armTimer();
