--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -37,6 +37,8 @@
     std::string platformDialect = "native";
     /// Nodes of each zone that watch the store; the others learn of changes from peers.
     std::uint64_t watchersPerZone = 2;
+    /// Nodes that start at once spread their first call to the store over this time.
+    Duration storeStartWindow = std::chrono::seconds(4);
     /// Peer addresses of nodes for the first contact.
     std::vector<std::string> seeds;
     /// Shared key of all nodes, as raw bytes; empty when peers aren't authenticated.
--- a/src/node/config_driver.cpp
+++ b/src/node/config_driver.cpp
@@ -65,7 +65,8 @@
     , m_sync(ConfigSyncOptions{.self = context.self,
                                .zone = context.settings.zone,
                                .kinds = std::move(kinds),
-                               .watchersPerZone = context.settings.watchersPerZone},
+                               .watchersPerZone = context.settings.watchersPerZone,
+                               .startWindow = context.settings.storeStartWindow},
              steadyNow(), context.random)
     , m_timer(context.io)
 {
--- a/src/node/gate_service.cpp
+++ b/src/node/gate_service.cpp
@@ -443,14 +443,15 @@
     m_announcement = std::move(announcement);
     m_announcedAt = now;
     m_backend.setTarget(m_announcement.address, connectionLimit());
-    if (isChanged) {
-        applyPolicy(now);
-    }
     if (isNewInstance) {
         m_gate.restart(now);
         m_isConfirmed = false;
-        confirmInstance(now);
-    } else if (isRepeated) {
+        m_isChecking = false;
+    }
+    if (isChanged) {
+        applyPolicy(now);
+    }
+    if (isRepeated) {
         onConfirmed(now, m_announcement.instance, "second announcement");
     }
     recordReadiness(before);
@@ -470,7 +471,9 @@
         // The next announcement confirms this one.
         return;
     }
+    m_isChecking = true;
     m_backend.send(std::move(*request), kHealthTimeout, [this, instance = m_announcement.instance](const BackendResult &result) {
+        m_isChecking = false;
         if (result.outcome == Outcome::Answer && m_context.edge.showsHealth(instance, result.response)) {
             onConfirmed(steadyNow(), instance, "health check");
         }
@@ -594,6 +597,10 @@
 void GateService::applyPolicy(TimePoint now)
 {
     m_backend.setTarget(m_announcement.address, connectionLimit());
+    if (!m_announcement.instance.empty() && !m_isConfirmed && !m_isChecking) {
+        // The path of the health check has become known.
+        confirmInstance(now);
+    }
     m_gate.configure(now, gateOptions());
     pollGate(now);
 }
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -131,6 +131,7 @@
     bool m_isDrained = false;
     /// The announced instance was seen alive by this process: by a health check, or by a second announcement.
     bool m_isConfirmed = false;
+    bool m_isChecking = false;
     /// Departed instances, latest last: a late announcement must not bring one back.
     std::deque<Announcement> m_departed;
     DispatchCheck m_dispatchCheck;
