--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -162,7 +162,7 @@
     /// Longest time that a caller is kept waiting.
     Duration timeout = std::chrono::seconds(2);
     /// Time within which an answer is worth most.
-    Duration targetLatency = std::chrono::seconds(1);
+    Duration latencyObjective = std::chrono::seconds(1);
     /// 0 is refused last.
     std::uint32_t priority = 0;
     /// Upstreams on which one request may run.
@@ -400,8 +400,8 @@
     /// Route of @a host with the longest prefix of @a path, or nothing.
     const RouteSpec *routeOf(std::string_view host, std::string_view path) const;
     const RoutedServiceSpec *findRoutedService(std::string_view service) const;
-    /// Shortest target latency of the routes that lead to @a service, or nothing.
-    std::optional<Duration> tightestLatency(std::string_view service) const;
+    /// shortest latency objective of the routes that lead to @a service, or nothing.
+    std::optional<Duration> tightestObjective(std::string_view service) const;
     /// Limits of the route table, or the defaults.
     const TrafficLimits &trafficLimits() const;
     std::size_t size() const;
--- a/include/chicoryspar/http.h
+++ b/include/chicoryspar/http.h
@@ -71,7 +71,7 @@
     /// Rises with each announcement of one process; 0 when not stated.
     std::uint64_t sequence = 0;
     /// How long the process stays slow after its start; nothing when not stated.
-    std::optional<Duration> coldRemaining;
+    std::optional<Duration> warmupRemaining;
 };
 
 enum class NoticeKind : std::uint8_t {
--- a/src/config/lookup.cpp
+++ b/src/config/lookup.cpp
@@ -162,13 +162,13 @@
     return it == services.end() ? nullptr : &*it;
 }
 
-std::optional<Duration> ConfigSet::tightestLatency(std::string_view service) const
+std::optional<Duration> ConfigSet::tightestObjective(std::string_view service) const
 {
     std::optional<Duration> tightest;
     for (const auto &route : m_routeTable ? std::span<const RouteSpec>(m_routeTable->routes) : std::span<const RouteSpec>()) {
         const auto leads = [service](const RouteBackend &it) { return it.service == service && it.weight > 0; };
         if (std::any_of(route.backends.begin(), route.backends.end(), leads)) {
-            tightest = std::min(tightest.value_or(route.targetLatency), route.targetLatency);
+            tightest = std::min(tightest.value_or(route.latencyObjective), route.latencyObjective);
         }
     }
     return tightest;
--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -147,7 +147,7 @@
     {"backends", &readRouteBackends},
     {"idempotent", &RouteSpec::idempotent},
     {"timeoutMs", &RouteSpec::timeout, 1, kMaxMilliseconds},
-    {"targetLatencyMs", &RouteSpec::targetLatency, 1, kMaxMilliseconds},
+    {"latencyObjectiveMs", &RouteSpec::latencyObjective, 1, kMaxMilliseconds},
     {"priority", &RouteSpec::priority, 0, kMaxPriority},
     {"maxAttempts", &RouteSpec::maxAttempts, 1, kMaxAttempts},
 }};
--- a/src/node/backend_client_beast.cpp
+++ b/src/node/backend_client_beast.cpp
@@ -304,7 +304,7 @@
 
 BackendClient::BackendClient(asio::io_context &io, BackendClientOptions options)
     : m_io(io)
-    , m_options(options)
+    , m_options(std::move(options))
 {
 }
 
--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -97,7 +97,7 @@
         target.method = MethodSpec{
             .name = route->name, .requestClass = route->requestClass(), .idempotent = route->idempotent, .defaultTimeout = route->timeout};
         target.maxRuns = route->maxAttempts;
-        target.targetLatency = route->targetLatency;
+        target.latencyObjective = route->latencyObjective;
         return target;
     }
     const auto *method = m_context.config.methodOf(fields.service, request.verb, path);
@@ -194,7 +194,7 @@
     entry.service = call.service;
     entry.requestId = m_context.edge.tokenOf(call);
     entry.method = method.name;
-    entry.targetLatency = target.targetLatency;
+    entry.latencyObjective = target.latencyObjective;
     entry.respond = std::move(respond);
     if (input.parent) {
         entry.parent = fields.parentToken;
@@ -234,7 +234,7 @@
     if (notice.kind == NoticeKind::Announcement && !it.address.empty() && !parseEndpoint(it.address)) {
         notice.findings.push_back({"address", "'" + it.address + "' isn't ip:port"});
     }
-    const auto response = m_context.edge.answerNotice(
+    auto response = m_context.edge.answerNotice(
         {.node = m_context.settings.name, .isConfigured = m_context.config.size() > 0, .findings = notice.findings});
     if (!notice.findings.empty()) {
         writeLog(LogLevel::Warning, "unusable notice of a backend server", {{"findings", toString(notice.findings)}});
@@ -275,7 +275,7 @@
 /// Writes a line on each request that wasn't answered in time.
 void EntryService::logEnd(const Entry &entry, const CallAnswer &answer, Duration elapsed) const
 {
-    const bool isLate = answer.outcome == Outcome::Answer && entry.targetLatency > Duration{0} && elapsed > entry.targetLatency;
+    const bool isLate = answer.outcome == Outcome::Answer && entry.latencyObjective > Duration{0} && elapsed > entry.latencyObjective;
     if ((answer.outcome == Outcome::Answer && !isLate) || !takeDecisionLine()) {
         return;
     }
--- a/src/node/entry_service.h
+++ b/src/node/entry_service.h
@@ -49,7 +49,7 @@
         std::string requestId;
         std::string method;
         /// Answers beyond this are late; zero when nothing is stated.
-        Duration targetLatency{0};
+        Duration latencyObjective{0};
         HttpHandler::Respond respond;
         std::uint64_t call = 0;
         bool isKeyed = false;
@@ -61,7 +61,7 @@
         std::string service;
         MethodSpec method;
         std::uint32_t maxRuns = 0;
-        Duration targetLatency{0};
+        Duration latencyObjective{0};
         Reason reason = Reason::None;
     };
 
--- /dev/null
+++ b/tests/io_gate_announcements.cpp
@@ -0,0 +1,112 @@
+/// @file
+/// What the gate believes of its backend server: order of announcements, departures, rebirths, and late news after a restart of the node.
+
+#include "node/clock.h"
+#include "node/gate_service.h"
+#include "platform/platform.h"
+
+#include <gtest/gtest.h>
+
+using namespace chicoryspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kTable =
+    R"({"apiVersion":"chicoryspar.io/v1","kind":"RouteTable","metadata":{"name":"main","resourceVersion":"1"},"spec":{"routes":[{"name":"r",)"
+    R"("host":"a","pathPrefix":"/","backends":[{"service":"orders","weight":1}],"idempotent":true,"timeoutMs":800,"latencyObjectiveMs":500,)"
+    R"("priority":2,"maxAttempts":2}],"services":[{"name":"orders","healthPath":"/health","maxConnections":8}]}})";
+
+Announcement makeAnnouncement(const std::string &instance, std::uint64_t bornAt, std::uint64_t sequence,
+                              BackendReadiness readiness = BackendReadiness::Ready)
+{
+    // Nothing listens there, so that no health check succeeds.
+    return {.service = "orders",
+            .address = "127.0.0.1:9",
+            .slots = 4,
+            .readiness = readiness,
+            .instance = instance,
+            .bornAt = bornAt,
+            .sequence = sequence};
+}
+
+class GateAnnouncements : public testing::Test
+{
+protected:
+    GateAnnouncements()
+        : context(io, settings, *sidecarEdgeDialect(), 1, 1)
+    {
+        context.config.applyParsed(steadyNow(), parseObject(kTable));
+        gate = std::make_unique<GateService>(context);
+    }
+
+    BackendReadiness announce(const Announcement &announcement)
+    {
+        gate->announce(steadyNow(), announcement);
+        io.run_for(50ms);
+        return gate->readiness();
+    }
+
+    boost::asio::io_context io{1};
+    NodeSettings settings{.name = "node", .region = "r", .zone = "z"};
+    NodeContext context;
+    std::unique_ptr<GateService> gate;
+};
+
+} // namespace
+
+TEST_F(GateAnnouncements, FirstOneAloneIsNotBelieved)
+{
+    EXPECT_EQ(announce(makeAnnouncement("i", 100, 7)), BackendReadiness::Starting);
+    EXPECT_EQ(announce(makeAnnouncement("i", 100, 7)), BackendReadiness::Starting);
+    EXPECT_EQ(announce(makeAnnouncement("i", 100, 8)), BackendReadiness::Ready);
+}
+
+TEST_F(GateAnnouncements, LateOneChangesNothing)
+{
+    announce(makeAnnouncement("i", 100, 7));
+    announce(makeAnnouncement("i", 100, 8));
+    EXPECT_EQ(announce(makeAnnouncement("i", 100, 9, BackendReadiness::Draining)), BackendReadiness::Draining);
+    EXPECT_EQ(announce(makeAnnouncement("i", 100, 8)), BackendReadiness::Draining);
+    EXPECT_EQ(announce(makeAnnouncement("older", 50, 99)), BackendReadiness::Draining);
+}
+
+TEST_F(GateAnnouncements, DepartedInstanceNeverComesBack)
+{
+    announce(makeAnnouncement("i", 100, 7));
+    announce(makeAnnouncement("i", 100, 8));
+    gate->depart(steadyNow(), "i");
+    EXPECT_EQ(gate->readiness(), BackendReadiness::Draining);
+    EXPECT_EQ(announce(makeAnnouncement("i", 100, 20)), BackendReadiness::Draining);
+}
+
+TEST_F(GateAnnouncements, DepartureOfAnotherInstanceIsIgnored)
+{
+    announce(makeAnnouncement("i", 100, 7));
+    announce(makeAnnouncement("i", 100, 8));
+    gate->depart(steadyNow(), "other");
+    EXPECT_EQ(gate->readiness(), BackendReadiness::Ready);
+}
+
+TEST_F(GateAnnouncements, SameNameWithALaterStartCountsAnew)
+{
+    announce(makeAnnouncement("i", 100, 7));
+    announce(makeAnnouncement("i", 100, 8));
+    gate->depart(steadyNow(), "i");
+    EXPECT_EQ(announce(makeAnnouncement("i", 200, 1)), BackendReadiness::Starting);
+    EXPECT_EQ(announce(makeAnnouncement("i", 200, 2)), BackendReadiness::Ready);
+}
+
+TEST_F(GateAnnouncements, CallsOfAnotherServiceAreRefusedAsNotRun)
+{
+    announce(makeAnnouncement("i", 100, 7));
+    announce(makeAnnouncement("i", 100, 8));
+    std::optional<CallAnswer> end;
+    CallRequest request;
+    request.service = "rounds";
+    request.context.remaining = 1s;
+    gate->beginCall(request, [&](CallAnswer answer) { end = std::move(answer); });
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->outcome, Outcome::NotRun);
+    EXPECT_EQ(end->reason, Reason::NoUpstream);
+}
--- a/tests/io_platform_edge.cpp
+++ b/tests/io_platform_edge.cpp
@@ -54,7 +54,7 @@
     EXPECT_EQ(it.sequence, 4U);
     EXPECT_EQ(it.bornAt, 1700000000000U);
     EXPECT_EQ(it.readiness, BackendReadiness::Ready);
-    EXPECT_EQ(it.coldRemaining, Duration(1500ms));
+    EXPECT_EQ(it.warmupRemaining, Duration(1500ms));
 }
 
 TEST(SidecarAnnouncement, DamagedOnesNameTheirFaults)
--- a/tests/io_platform_store.cpp
+++ b/tests/io_platform_store.cpp
@@ -153,7 +153,7 @@
     ASSERT_EQ(table.routes.size(), 2U);
     EXPECT_FALSE(table.routes[0].idempotent);
     EXPECT_EQ(table.routes[0].timeout, 1000ms);
-    EXPECT_EQ(table.routes[0].targetLatency, 1500ms);
+    EXPECT_EQ(table.routes[0].latencyObjective, 1500ms);
     EXPECT_TRUE(table.routes[1].idempotent);
     EXPECT_EQ(table.routes[1].backends, (std::vector<RouteBackend>{{"s1", 90}, {"s2", 10}}));
     EXPECT_EQ(table.limits.idleTimeout, 15s);
--- a/tests/test_config_routes.cpp
+++ b/tests/test_config_routes.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Route tables: the longest prefix, shares of weighted services, target latencies, and versions that never fall.
+/// Route tables: the longest prefix, shares of weighted services, latency objectives, and versions that never fall.
 
 #include <chicoryspar/config.h>
 
@@ -22,7 +22,7 @@
 std::string makeRoute(const std::string &prefix, const std::string &backends, int targetMs = 1000, int priority = 2)
 {
     return R"({"name":"r)" + prefix + R"(","host":"a.example","pathPrefix":")" + prefix + R"(","backends":[)" + backends
-        + R"(],"idempotent":true,"timeoutMs":800,"targetLatencyMs":)" + std::to_string(targetMs) + R"(,"priority":)"
+        + R"(],"idempotent":true,"timeoutMs":800,"latencyObjectiveMs":)" + std::to_string(targetMs) + R"(,"priority":)"
         + std::to_string(priority) + R"(,"maxAttempts":2})";
 }
 
@@ -78,12 +78,12 @@
     EXPECT_TRUE(set.routeOf("a.example", "/a/"));
 }
 
-TEST(RouteTable, TightestLatencyIsThatOfAllRoutesToAService)
+TEST(RouteTable, TightestObjectiveIsThatOfAllRoutesToAService)
 {
     ConfigSet set;
     set.applyParsed(TimePoint(), parseObject(makeTable(1, makeRoute("/a/", kOrders, 900) + "," + makeRoute("/b/", kOrders, 300))));
-    EXPECT_EQ(set.tightestLatency("orders"), Duration(300ms));
-    EXPECT_EQ(set.tightestLatency("rounds"), std::nullopt);
+    EXPECT_EQ(set.tightestObjective("orders"), Duration(300ms));
+    EXPECT_EQ(set.tightestObjective("rounds"), std::nullopt);
 }
 
 TEST(RouteTable, PriorityChoosesTheClass)
