--- a/tests/test_overload_retry.cpp
+++ b/tests/test_overload_retry.cpp
@@ -123,7 +123,7 @@
 RC_GTEST_PROP(RatioBudget, BoundsTheShareOfRepeats, (std::uint64_t seed))
 {
     Random random(seed);
-    const RatioBudgetOptions options{.ratioPercent = static_cast<std::uint32_t>(drawBelow(random, 30)), .minPerSecond = 1, .burst = 10};
+    const RatioBudgetOptions options{.ratioPercent = static_cast<double>(drawBelow(random, 30)), .minPerSecond = 1, .burst = 10};
     TimePoint now{1h};
     const auto start = now;
     RatioBudget budget(now, options);
