--- a/tests/io_peer_connection.cpp
+++ b/tests/io_peer_connection.cpp
@@ -199,3 +199,15 @@
     EXPECT_EQ(m_a.closedFor, Reason::ConnectionSilent);
     EXPECT_TRUE(m_a.payloads.empty());
 }
+
+TEST_F(PeerConnectionTest, SilenceCountsFromTheFirstWaitOfAnIdleConnection)
+{
+    connect(kKey, kKey);
+    ASSERT_TRUE(runUntilOpen());
+    const auto idleEnd = std::chrono::steady_clock::now() + 2 * fastOptions().silenceTimeout;
+    runUntil([idleEnd] { return std::chrono::steady_clock::now() > idleEnd; });
+    m_a.isWaiting = true;
+    const auto end = std::chrono::steady_clock::now() + 2 * fastOptions().silenceTimeout;
+    runUntil([end] { return std::chrono::steady_clock::now() > end; });
+    EXPECT_FALSE(m_a.closedFor);
+}
