Routing by rank: only calls that the own region refuses go to another one

Cause: an upstream with any admission level counted as saturated for every call, so that calls it would serve left their region, while calls admitted above ignored levels and met gates that refused them. Change: levels and refusals of full queues count for the ranks that they concern; calls admitted above prefer upstreams that admit them.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -453,6 +453,8 @@
 /// What one attempt showed about its upstream.
 struct RouteResult
 {
+    /// Rank of the call.
+    Rank rank;
     /// Time from sending to the end.
     Duration latency{0};
     Outcome outcome = Outcome::Answer;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -261,6 +261,7 @@
 void Dispatcher::noteResult(TimePoint now, Call &call, const CallAnswer &answer)
 {
     RouteResult result;
+    result.rank = makeRank(call.routed.request.context);
     result.latency = now - call.sentAt;
     result.outcome = answer.outcome;
     result.reason = answer.reason;
--- a/src/overload/router.cpp
+++ b/src/overload/router.cpp
@@ -71,7 +71,12 @@
 
     bool admits(const Upstream &upstream) const
     {
-        return request.isAdmittedAbove || levelOf(state, upstream, now).admits(request.rank);
+        return levelOf(state, upstream, now).admits(request.rank);
+    }
+
+    bool isFull(const Upstream &upstream) const
+    {
+        return isSaturated(state, upstream, now, request.rank);
     }
 
     const Upstream &draw(const Pool &from) const
@@ -122,7 +127,7 @@
             return std::nullopt;
         }
         const auto zone = filter(region, [this](const Upstream &upstream) {
-            return tierOf(state.options, upstream.candidate) == Tier::Zone && !isSaturated(state, upstream, now);
+            return tierOf(state.options, upstream.candidate) == Tier::Zone && !isFull(upstream);
         });
         if (zone.size > 0 && meanCost(zone) <= meanCost(region) * kZonePreference) {
             return RouteDecision{.node = pick(zone).candidate.node, .route = RouteReason::OwnZone};
@@ -135,17 +140,17 @@
     /// Has room, as far as is known; one that was saturated when last heard of is tried now and then.
     bool isOpen(const Upstream &upstream) const
     {
-        if (isSaturated(state, upstream, now)) {
+        if (isFull(upstream)) {
             return false;
         }
-        const bool wasSaturated = upstream.level != Level{};
+        const bool wasSaturated = !upstream.level.admits(request.rank);
         return !wasSaturated || now - std::max(upstream.heardAt, upstream.sentAt) >= state.options.probeInterval;
     }
 
     bool isSpilling(const Pool &near) const
     {
         const auto saturated =
-            filter(near, [this](const Upstream &upstream) { return isEjected(upstream, now) || isSaturated(state, upstream, now); });
+            filter(near, [this](const Upstream &upstream) { return isEjected(upstream, now) || isFull(upstream); });
         return saturated.size * 100 >= near.size * state.options.spillAtPercent;
     }
 
@@ -219,8 +224,9 @@
             return {.node = pick(admitting).candidate.node, .route = RouteReason::LastResort};
         }
         // Work has been done for a deeper call, so the gate decides on it.
-        if (depthOf(request.rank) > 0) {
-            return {.node = pick(from).candidate.node, .route = RouteReason::LastResort};
+        if (request.isAdmittedAbove || depthOf(request.rank) > 0) {
+            const auto sound = filter(from, [this](const Upstream &upstream) { return !isEjected(upstream, now); });
+            return {.node = pick(sound.size > 0 ? sound : from).candidate.node, .route = RouteReason::LastResort};
         }
         if (const auto probe = chooseProbe(from)) {
             return *probe;
--- a/src/overload/router_signals.cpp
+++ b/src/overload/router_signals.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "overload/router_state.h"
 
@@ -23,6 +24,7 @@
 /// Seconds of the cross-region rate that the bucket holds.
 constexpr double kCrossSeconds = 0.25;
 constexpr double kMinLatencyMicros = 50;
+constexpr Rank kHighestRank{std::numeric_limits<std::uint32_t>::max()};
 
 double medianFailures(const RouterState &state)
 {
@@ -73,21 +75,29 @@
     }
 }
 
-bool isRefusalByOverload(Reason reason)
+/// Highest rank that would have met the same refusal at the same upstream; nothing for a refusal that another one shares.
+std::optional<Rank> refusedRank(const RouteResult &result)
 {
-    switch (reason) {
+    switch (result.reason) {
     case Reason::QueueFull:
     case Reason::QueueTimeout:
+        // A gate gives up the lowest ranks that wait.
+        return result.rank;
     case Reason::LimitReached:
     case Reason::ShedByBackend:
     case Reason::Draining:
     case Reason::Stopping:
-        return true;
+        return kHighestRank;
     default:
-        return false;
+        return std::nullopt;
     }
 }
 
+bool wasRefusedLately(const RouterState &state, const Upstream &upstream, TimePoint now)
+{
+    return upstream.refusedAt > TimePoint{} && now - upstream.refusedAt < state.options.levelExpiry;
+}
+
 } // namespace
 
 Upstream *RouterState::find(NodeId node)
@@ -108,7 +118,8 @@
         const auto weight = sample > upstream.latencyMicros ? kLatencyRise : kLatencyFall;
         upstream.latencyMicros += upstream.latencyMicros > 0 ? (sample - upstream.latencyMicros) * weight : sample;
     }
-    if (isRefusalByOverload(result.reason)) {
+    if (const auto rank = refusedRank(result)) {
+        upstream.refusedRank = wasRefusedLately(state, upstream, now) ? std::max(upstream.refusedRank, *rank) : *rank;
         upstream.refusedAt = now;
     }
     upstream.heardAt = now;
@@ -127,10 +138,10 @@
     return now - upstream.levelAt < state.options.levelExpiry ? upstream.level : Level{};
 }
 
-bool isSaturated(const RouterState &state, const Upstream &upstream, TimePoint now)
+bool isSaturated(const RouterState &state, const Upstream &upstream, TimePoint now, Rank rank)
 {
-    const bool refusedLately = upstream.refusedAt > TimePoint{} && now - upstream.refusedAt < state.options.levelExpiry;
-    return refusedLately || levelOf(state, upstream, now) != Level{} || upstream.inFlight >= upstream.candidate.slots * 2;
+    const bool isRefused = wasRefusedLately(state, upstream, now) && rank <= upstream.refusedRank;
+    return isRefused || !levelOf(state, upstream, now).admits(rank) || upstream.inFlight >= upstream.candidate.slots * 2;
 }
 
 double startWeight(const RouterState &state, const Upstream &upstream, TimePoint now)
--- a/src/overload/router_state.h
+++ b/src/overload/router_state.h
@@ -20,6 +20,8 @@
     TimePoint levelAt;
     /// Last refusal that another upstream may not share, such as a full queue.
     TimePoint refusedAt;
+    /// Highest rank that was refused so within the expiry of a level.
+    Rank refusedRank;
     TimePoint heardAt;
     TimePoint sentAt;
     TimePoint probedAt;
@@ -61,8 +63,8 @@
 /// Level in force at an upstream; the lowest once it is too old.
 Level levelOf(const RouterState &state, const Upstream &upstream, TimePoint now);
 
-/// Refuses some calls, as far as this node has seen.
-bool isSaturated(const RouterState &state, const Upstream &upstream, TimePoint now);
+/// Refuses calls of that rank, as far as this node has seen.
+bool isSaturated(const RouterState &state, const Upstream &upstream, TimePoint now, Rank rank);
 
 /// Share of its weight that a new upstream has reached, 0 to 1.
 double startWeight(const RouterState &state, const Upstream &upstream, TimePoint now);
--- a/tests/test_overload_router.cpp
+++ b/tests/test_overload_router.cpp
@@ -317,3 +317,43 @@
     const RouteRequest child{.rank = lowestRank(RequestClass::Lookup), .isAdmittedAbove = true};
     EXPECT_TRUE(router.choose(now + 1ms, random, child).node.isValid());
 }
+
+/// A gate that refuses the lowest ranks still takes the others, which need no way to another region.
+TEST(Router, OnlyRanksThatTheOwnRegionRefusesGoFar)
+{
+    TimePoint now{1h};
+    Random random(1);
+    Router router(now, {.zone = 0, .region = 0});
+    router.setCandidates(now, makeCandidates());
+    const Rank low{lowestRank(RequestClass::Lookup).value + 100};
+    const Rank high{lowestRank(RequestClass::Lookup).value + 100'000};
+    const Level between{lowestRank(RequestClass::Lookup).value + 1000};
+    for (std::uint64_t n = 1; n <= 6; ++n) {
+        router.onSent(now, {n}, 1);
+        router.onResult(now, {n}, {.latency = 5ms, .level = n <= 2 ? between : Level{}});
+    }
+    for (const bool isAdmittedAbove : {false, true}) {
+        for (int n = 0; n < 100; ++n) {
+            const auto lowNode = router.choose(now + 1ms, random, {.rank = low, .isAdmittedAbove = isAdmittedAbove}).node;
+            const auto highNode = router.choose(now + 1ms, random, {.rank = high, .isAdmittedAbove = isAdmittedAbove}).node;
+            EXPECT_NE(regionOf(lowNode), 0U);
+            EXPECT_EQ(regionOf(highNode), 0U);
+        }
+    }
+}
+
+TEST(Router, AFullQueueThatRefusedALowRankIsOpenToHigherOnes)
+{
+    TimePoint now{1h};
+    Random random(1);
+    Router router(now, {.zone = 0, .region = 0});
+    router.setCandidates(now, makeCandidates());
+    const Rank low{lowestRank(RequestClass::Lookup).value + 100};
+    const Rank high{lowestRank(RequestClass::Lookup).value + 100'000};
+    for (std::uint64_t n = 1; n <= 2; ++n) {
+        router.onSent(now, {n}, 1);
+        router.onResult(now, {n}, {.rank = low, .latency = 5ms, .outcome = Outcome::NotRun, .reason = Reason::QueueFull});
+    }
+    EXPECT_NE(regionOf(router.choose(now + 1ms, random, {.rank = low}).node), 0U);
+    EXPECT_EQ(regionOf(router.choose(now + 1ms, random, {.rank = high}).node), 0U);
+}
