Listener takes over the operator's limits on headers and idle connections

Cause: limits of the route table were read but not applied, so that a connection could stay idle for 60 s whatever the operator allowed. Change: header size, header timeout and idle timeout hold for the next request and for connections that become idle later.

--- /dev/null
+++ b/scripts/soak_actions.py
@@ -0,0 +1,148 @@
+"""What the soak does to a mesh: pairs of a fault and its end, drawn with times that overlap."""
+
+import random
+import signal
+import threading
+import time
+from dataclasses import dataclass
+from typing import Callable
+
+# No fault begins in the first and the last part of a run, in seconds.
+QUIET_S = 1
+# Mean time between the beginnings of two faults, in seconds.
+MEAN_GAP_S = 0.8
+# Longest fault, in seconds: longer than every timeout between nodes and than the key lifetime of the runs.
+LONGEST_S = 6
+RELAY_MODES = ("silent", "forget", "drop-to-target", "drop-from-target", "stall", "delay")
+
+
+@dataclass
+class Action:
+    """A fault at one host, or at the platform, and how it ends."""
+
+    name: str
+    begin: Callable
+    end: Callable = None
+    # What only one fault at a time may touch, beside the host.
+    part: str = "node"
+
+
+def restart_node(host, _draw):
+    if not host.node.is_running():
+        host.start_node()
+
+
+def restart_backend(host, _draw):
+    if not host.backend.is_running():
+        host.start_backend()
+
+
+def stop_node(host, _draw):
+    host.node.send(signal.SIGTERM)
+
+
+def stop_backend(host, _draw):
+    host.backend.send(signal.SIGTERM)
+
+
+def wait_and_restart_node(host, draw):
+    host.node.stop()
+    restart_node(host, draw)
+
+
+def wait_and_restart_backend(host, draw):
+    host.backend.stop()
+    restart_backend(host, draw)
+
+
+def set_relay(host, draw):
+    if host.plan.is_relayed:
+        host.set_relay(draw.choice(RELAY_MODES), stallAfter=draw.randint(1, 2000), delayMs=draw.randint(20, 400))
+
+
+def clear_relay(host, _draw):
+    if host.plan.is_relayed:
+        host.set_relay("pass")
+
+
+def set_backend_faults(host, draw):
+    fault = draw.choice([{"hang": True}, {"lateMs": 1500, "lateShare": 0.3}, {"truncated": 0.2}, {"doubled": 0.3}, {"slow": 8.0}])
+    host.set_faults(**fault)
+
+
+def clear_backend_faults(host, _draw):
+    host.set_faults(hang=False, lateMs=0, lateShare=0.0, truncated=0.0, doubled=0.0, slow=1.0)
+
+
+def set_platform_faults(host, draw):
+    host.mesh.set_platform_faults(**draw.choice([{"down": True}, {"silent": True}, {"slowMs": 800}, {"answerLost": True}, {"errorShare": 0.5}]))
+
+
+def clear_platform_faults(host, _draw):
+    host.mesh.set_platform_faults()
+
+
+ACTIONS = (
+    Action("kill-node", lambda host, _: host.node.kill(), restart_node),
+    Action("stop-node", stop_node, wait_and_restart_node),
+    Action("pause-node", lambda host, _: host.node.send(signal.SIGSTOP), lambda host, _: host.node.send(signal.SIGCONT)),
+    Action("hup-node", lambda host, _: host.node.send(signal.SIGHUP)),
+    Action("kill-backend", lambda host, _: host.backend.kill(), restart_backend, part="backend"),
+    Action("stop-backend", stop_backend, wait_and_restart_backend, part="backend"),
+    Action("pause-backend", lambda host, _: host.backend.send(signal.SIGSTOP), lambda host, _: host.backend.send(signal.SIGCONT), part="backend"),
+    Action("backend-faults", set_backend_faults, clear_backend_faults, part="backend"),
+    Action("relay", set_relay, clear_relay, part="relay"),
+    Action("platform", set_platform_faults, clear_platform_faults, part="platform"),
+)
+
+
+class Schedule:
+    """Times and targets of the faults of one seed."""
+
+    def __init__(self, draw, duration):
+        self.steps = []
+        at = QUIET_S
+        while at < duration - QUIET_S:
+            self.steps.append((at, draw.choice(ACTIONS), draw.random(), draw.uniform(0.1, LONGEST_S), draw.getrandbits(32)))
+            at += draw.expovariate(1 / MEAN_GAP_S)
+
+
+def play(mesh, schedule):
+    """Plays a schedule in real time. Returns the names of the faults that began, each with its target."""
+    begin = time.monotonic()
+    busy, threads, played, failures = set(), [], [], []
+
+    def run(action, host, place, length, seed):
+        # Its own draws, so that the order of the threads doesn't matter.
+        draw = random.Random(seed)
+        try:
+            action.begin(host, draw)
+            if action.end:
+                time.sleep(length)
+                action.end(host, draw)
+        except Exception as error:  # Reported with the run.
+            failures.append(f"{action.name} at {host.name}: {type(error).__name__}: {error}")
+        busy.discard(place)
+
+    for at, action, target, length, seed in schedule.steps:
+        time.sleep(max(0, begin + at - time.monotonic()))
+        host = mesh.hosts[int(target * len(mesh.hosts))]
+        place = (action.part, "" if action.part == "platform" else host.name)
+        if place in busy:
+            continue
+        busy.add(place)
+        played.append(f"{action.name}@{host.name}")
+        threads.append(threading.Thread(target=run, args=(action, host, place, length, seed)))
+        threads[-1].start()
+    for it in threads:
+        it.join()
+    if failures:
+        raise ValueError("; ".join(failures))
+    return played
+
+
+def end_all(mesh):
+    """Ends every pause, so that what waits can finish."""
+    for host in mesh.hosts:
+        for it in (host.node, host.backend):
+            it.send(signal.SIGCONT)
--- a/src/node/http_listener.h
+++ b/src/node/http_listener.h
@@ -57,7 +57,9 @@
     std::uint64_t maxBodyBytes = 0;
     std::uint64_t maxHeaderBytes = 0;
     std::uint64_t maxConnections = 0;
-    /// Longest time for a request to arrive after its first byte, and for an answer to be taken.
+    /// Longest time for a request's header to arrive after its first byte.
+    Duration headerTimeout = std::chrono::seconds(10);
+    /// Longest time for a request's body to arrive after its header, and for an answer to be taken.
     Duration transferTimeout = std::chrono::seconds(10);
     /// How long a connection may stay without a request.
     Duration idleTimeout = std::chrono::seconds(60);
@@ -73,6 +75,9 @@
     /// Opens the port.
     std::error_code start();
 
+    /// Puts new limits in force: for requests whose first byte comes later, and for connections that become idle later.
+    void setLimits(std::uint64_t maxHeaderBytes, Duration headerTimeout, Duration idleTimeout);
+
     /// Closes each connection after its next answer, and accepts further ones.
     void beginDrain();
 
--- a/src/node/http_listener_beast.cpp
+++ b/src/node/http_listener_beast.cpp
@@ -244,7 +244,7 @@
                 m_parser->header_limit(static_cast<std::uint32_t>(m_shared->options.maxHeaderBytes));
                 m_parser->body_limit(m_shared->options.maxBodyBytes);
                 m_isAdmitted = false;
-                extend(m_shared->options.transferTimeout);
+                extend(m_shared->options.headerTimeout);
             }
             beast::error_code ec;
             m_buf.consume(m_parser->put(m_buf.data(), ec));
@@ -267,6 +267,7 @@
     bool admitBody()
     {
         m_isAdmitted = true;
+        extend(m_shared->options.transferTimeout);
         const auto length = m_parser->content_length();
         if (length && *length > m_shared->options.maxBodyBytes) {
             refuse(Reason::BodyTooLarge);
@@ -482,6 +483,13 @@
     return ec;
 }
 
+void HttpListener::setLimits(std::uint64_t maxHeaderBytes, Duration headerTimeout, Duration idleTimeout)
+{
+    m_shared->options.maxHeaderBytes = maxHeaderBytes;
+    m_shared->options.headerTimeout = headerTimeout;
+    m_shared->options.idleTimeout = idleTimeout;
+}
+
 void HttpListener::armSweep()
 {
     m_timer.expires_after(kSweepPeriod);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -110,7 +110,10 @@
         m_peers.setCallHandler(
             [this](CallRequest request, AnswerHandler handler) { return m_keys.serveCall(std::move(request), std::move(handler)); },
             [this](std::uint64_t id) { m_gate.cancelCall(id); });
-        m_context.configChanged.connect([this](TimePoint now) { m_gate.applyPolicy(now); });
+        m_context.configChanged.connect([this](TimePoint now) {
+            m_gate.applyPolicy(now);
+            applyLimits();
+        });
     }
 
     std::error_code start()
@@ -174,6 +177,15 @@
         return {};
     }
 
+    /// Limits of the route table go before those of the settings.
+    void applyLimits()
+    {
+        if (m_context.config.hasRoutes()) {
+            const auto &limits = m_context.config.trafficLimits();
+            m_callers.setLimits(limits.maxHeaderBytes, limits.headerTimeout, limits.idleTimeout);
+        }
+    }
+
     void awaitSignal()
     {
         m_signals.async_wait([this](boost::system::error_code ec, int signal) {
--- a/tests/io_http_listener.cpp
+++ b/tests/io_http_listener.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -98,6 +99,16 @@
         m_thread.join();
     }
 
+    void setLimits(std::uint64_t maxHeaderBytes, Duration headerTimeout, Duration idleTimeout)
+    {
+        std::promise<void> done;
+        asio::post(m_io, [&] {
+            m_listener.setLimits(maxHeaderBytes, headerTimeout, idleTimeout);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     EchoHandler m_handler;
     std::uint16_t m_port = 0;
 
@@ -310,3 +321,22 @@
         EXPECT_TRUE(client.readUntil(body).ends_with(body));
     }
 }
+
+/// The operator may narrow the limits while connections are open.
+TEST(HttpListener, NewLimitsHoldForTheNextRequestAndForConnectionsThatBecomeIdle)
+{
+    Server server;
+    Client kept(server.m_port);
+    kept.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(kept.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
+    server.setLimits(512, std::chrono::milliseconds(200), std::chrono::milliseconds(100));
+    EXPECT_TRUE(callOnce(server.m_port, post("", "X: " + std::string(1024, 'h') + "\r\n")).starts_with("HTTP/1.1 431"));
+    // The header never ends, and the connection closes well before the former limit.
+    Client slow(server.m_port);
+    const auto begin = std::chrono::steady_clock::now();
+    slow.send("GET /b HTTP/1.1\r\nHost:");
+    EXPECT_EQ(slow.readAll(), "");
+    kept.send("GET /c HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(kept.readAll().starts_with("HTTP/1.1 200"));
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(8));
+}
