Sheds that have nothing to do with the load leave the limit

Ruled out: overload (one call ran and was shed all the same). Change: when half the limit gives clearly fewer answers, the limit goes back to where the shedding began and further sheds are left out.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -77,6 +77,8 @@
     ColdStart,
     Queueing,
     Shedding,
+    /// The backend server sheds whatever the limit is, so that a lower one would only cost answers.
+    SheddingAnyway,
     Growing,
     Minimum,
     Count,
--- a/src/overload/limit.cpp
+++ b/src/overload/limit.cpp
@@ -54,6 +54,7 @@
 {
     m_memory = {};
     m_window = {};
+    m_sheds = {};
     m_windowStart = now;
     m_startedAt = now;
     m_limit = highest();
@@ -126,9 +127,17 @@
     const bool isRamping = highest() * ramp(now) < m_limit;
     const bool wasReached = m_window.peakInFlight >= limit(now) && !isRamping;
     observe(m_memory, m_window, wasReached || isRamping);
+    const bool wasUnrelated = m_sheds.isUnrelated();
+    m_sheds.add(m_window, limit(now));
+    if (m_sheds.isUnrelated()) {
+        m_limit = wasUnrelated ? m_limit : std::min(m_sheds.startLimit(), highest());
+        m_reason = LimitReason::SheddingAnyway;
+        m_window.sheds = 0;
+    }
     if (m_window.sheds > 0 || (m_window.answers > 0 && wasReached)) {
         const auto step = functionOf(m_options.algorithm)(m_memory, m_window, m_limit, highest());
-        m_limit = std::clamp(step.limit, std::min<double>(m_options.minLimit, highest()), highest());
+        const auto lowest = m_window.sheds > 0 ? std::max<double>(m_options.minLimit, m_sheds.lowestLimit()) : m_options.minLimit;
+        m_limit = std::clamp(step.limit, std::min(lowest, highest()), highest());
         m_reason = step.reason;
     }
     m_window = {.peakInFlight = inFlight};
--- a/src/overload/limit.h
+++ b/src/overload/limit.h
@@ -72,6 +72,44 @@
 /// Returns the function of @a algorithm.
 LimitFunction functionOf(LimitAlgorithm algorithm);
 
+/// Requests that a backend server shed since it began to, and whether fewer calls at once would help.
+class ShedWatch
+{
+public:
+    /// Takes a window in at the limit that held in it.
+    void add(const LimitWindow &window, double limit);
+
+    /// Half the limit gave clearly fewer answers, so that the number of calls isn't the cause.
+    bool isUnrelated() const;
+
+    /// Limit at which the shedding began; 0 while nothing is shed.
+    double startLimit() const;
+
+    /// Lowest limit before it is known whether lowering it helps.
+    double lowestLimit() const;
+
+private:
+    struct Counts
+    {
+        std::uint32_t answers = 0;
+        std::uint32_t ends = 0;
+        Duration length{0};
+
+        double answersPerSecond() const;
+    };
+
+    void judge(double limit);
+
+    double m_startLimit = 0;
+    /// Limit from which the present comparison starts; lower than the first once lowering it has cost nothing.
+    double m_comparedLimit = 0;
+    /// Near that limit, and at half of it.
+    Counts m_atStart;
+    Counts m_atHalf;
+    std::uint32_t m_quietWindows = 0;
+    bool m_isUnrelated = false;
+};
+
 /// Concurrency limit of one backend server.
 class LimitControl
 {
@@ -101,6 +139,7 @@
     GateOptions m_options;
     LimitMemory m_memory;
     LimitWindow m_window;
+    ShedWatch m_sheds;
     TimePoint m_windowStart;
     TimePoint m_startedAt;
     TimePoint m_sampledAt;
--- a/src/overload/overload_tables.cpp
+++ b/src/overload/overload_tables.cpp
@@ -19,6 +19,7 @@
     {"cold-start", "the backend server started a short time ago"},
     {"queueing", "more concurrency raised the latency and not the throughput"},
     {"shedding", "the backend server refused calls before running them"},
+    {"shedding-anyway", "the backend server refuses calls whatever the limit is"},
     {"growing", "the limit was reached without queueing, so it grows"},
     {"minimum", "the lowest limit that the policy allows"},
 }};
--- a/tests/test_overload_limit.cpp
+++ b/tests/test_overload_limit.cpp
@@ -66,3 +66,41 @@
     }
     EXPECT_GT(sum / 10, kAnnounced * 0.95);
 }
+
+/// A backend server that refuses part of its requests whatever runs there keeps its places.
+TEST(ShedWatch, ShedsThatHaveNothingToDoWithTheLoadLeaveTheLimit)
+{
+    Random random(7);
+    TimePoint now{1h};
+    LimitControl control(now, {.algorithm = LimitAlgorithm::Throughput, .slots = kAnnounced, .coldStart = Duration{0}});
+    double lowest = kAnnounced;
+    double sum = 0;
+    int count = 0;
+    for (int n = 0; n < 4000; ++n) {
+        const auto inFlight = control.limit(now);
+        now += Duration(30'000 / inFlight);
+        control.onStart(inFlight);
+        control.onEnd(now, 30ms, drawUnit(random) < 0.55 ? GateResult::Shed : GateResult::Success, inFlight);
+        lowest = std::min<double>(lowest, control.limit(now));
+        sum += n >= 2000 ? control.limit(now) : 0;
+        count += n >= 2000 ? 1 : 0;
+    }
+    EXPECT_GE(lowest, kAnnounced * 0.45);
+    EXPECT_GE(sum / count, kAnnounced * 0.9);
+}
+
+/// A backend server that sheds what exceeds its real places still loses the announced ones.
+TEST(ShedWatch, ShedsOfACrowdedBackendServerLowerTheLimit)
+{
+    TimePoint now{1h};
+    LimitControl control(now, {.algorithm = LimitAlgorithm::Throughput, .slots = kAnnounced, .coldStart = Duration{0}});
+    constexpr std::uint32_t kReal = 5;
+    for (int n = 0; n < 4000; ++n) {
+        const auto inFlight = control.limit(now);
+        now += Duration(30'000 / inFlight);
+        control.onStart(inFlight);
+        const bool isShed = static_cast<std::uint32_t>(n) % inFlight >= kReal;
+        control.onEnd(now, 30ms, isShed ? GateResult::Shed : GateResult::Success, inFlight);
+    }
+    EXPECT_LE(control.limit(now), kReal * 2);
+}
