--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -7,7 +7,7 @@
 find_library(XXHASH xxhash REQUIRED)
 
 function(chicoryspar_library name)
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
     if(NOT sources)
         return()
     endif()
--- a/src/node/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -1,11 +1,11 @@
 /// @file
 /// Carries out what ConfigSync decides.
 
-#include "node/config_driver.h"
+#include "node/control/config_driver.h"
 
 #include "node/clock.h"
 #include "node/log.h"
-#include "node/peer_set.h"
+#include "node/peers/peer_set.h"
 
 namespace chicoryspar {
 namespace {
--- a/src/node/config_driver.h
+++ b/src/node/control/config_driver.h
@@ -5,8 +5,8 @@
 
 #include "config/config_sync.h"
 #include "node/context.h"
-#include "node/membership_driver.h"
-#include "node/store_link.h"
+#include "node/control/store_link.h"
+#include "node/peers/membership_driver.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/node/contact_directory.cpp
+++ b/src/node/control/contact_directory.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Contacts in the store.
 
-#include "node/contact_directory.h"
+#include "node/control/contact_directory.h"
 
 #include "node/log.h"
 
--- a/src/node/contact_directory.h
+++ b/src/node/control/contact_directory.h
@@ -3,8 +3,8 @@
 /// @file
 /// Nodes find each other: each enters its address as a Contact in the store, and takes the others' as first contacts of its membership.
 
-#include "node/membership_driver.h"
-#include "node/store_link.h"
+#include "node/control/store_link.h"
+#include "node/peers/membership_driver.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/node/operator_api.h
+++ b/src/node/control/operator_api.h
@@ -3,8 +3,8 @@
 /// @file
 /// HTTP server of the operators' port. Requests arrive on the library's threads and are answered on the node's thread.
 
-#include "node/operator_views.h"
-#include "node/store_link.h"
+#include "node/control/operator_views.h"
+#include "node/control/store_link.h"
 
 namespace chicoryspar {
 
--- a/src/node/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -3,10 +3,10 @@
 
 #define _TURN_OFF_PLATFORM_STRING
 
-#include "node/operator_api.h"
+#include "node/control/operator_api.h"
 
 #include "node/clock.h"
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
 #include "node/log.h"
 #include "store/listener_cpprest.h"
 
--- a/src/node/operator_views.h
+++ b/src/node/control/operator_views.h
@@ -3,7 +3,7 @@
 /// @file
 /// What operators read from a node, as JSON text. Everything is collected on the node's thread.
 
-#include "node/config_driver.h"
+#include "node/control/config_driver.h"
 
 namespace chicoryspar {
 
--- a/src/node/operator_views_json.cpp
+++ b/src/node/control/operator_views_json.cpp
@@ -1,10 +1,10 @@
 /// @file
 /// What operators read from a node, as JSON text.
 
-#include "node/operator_views.h"
+#include "node/control/operator_views.h"
 
 #include "node/clock.h"
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/status_reporter.h
+++ b/src/node/control/status_reporter.h
@@ -4,9 +4,9 @@
 /// Writes the status of the backend server's service into the store, when this node is its reporter.
 
 #include "config/status_schedule.h"
-#include "node/config_driver.h"
 #include "node/context.h"
-#include "node/store_link.h"
+#include "node/control/config_driver.h"
+#include "node/control/store_link.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/node/status_reporter_json.cpp
+++ b/src/node/control/status_reporter_json.cpp
@@ -1,10 +1,10 @@
 /// @file
 /// Status of a service as JSON.
 
-#include "node/status_reporter.h"
+#include "node/control/status_reporter.h"
 
 #include "node/clock.h"
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/node/store_link.cpp
+++ b/src/node/control/store_link.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// The store as a node's parts use it.
 
-#include "node/store_link.h"
+#include "node/control/store_link.h"
 
 #include <cassert>
 #include <mutex>
--- a/src/node/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -1,12 +1,12 @@
 /// @file
 /// Routing, attempts and repeats.
 
-#include "node/dispatcher.h"
+#include "node/entry/dispatcher.h"
 
 #include "node/clock.h"
-#include "node/gate_service.h"
-#include "node/key_service.h"
-#include "node/peer_set.h"
+#include "node/gate/gate_service.h"
+#include "node/keys/key_service.h"
+#include "node/peers/peer_set.h"
 
 #include <algorithm>
 
--- a/src/node/entry_request.cpp
+++ b/src/node/entry/entry_request.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Context of a call that enters the mesh.
 
-#include "node/entry_request.h"
+#include "node/entry/entry_request.h"
 
 #include <algorithm>
 
--- a/src/node/entry_request.h
+++ b/src/node/entry/entry_request.h
@@ -3,7 +3,7 @@
 /// @file
 /// Context of a call that enters the mesh.
 
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
 
 #include <chicoryspar/config.h>
 #include <chicoryspar/http.h>
--- a/src/node/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -1,14 +1,14 @@
 /// @file
 /// HTTP requests to calls, ends of calls to HTTP answers.
 
-#include "node/entry_service.h"
+#include "node/entry/entry_service.h"
 
 #include "node/clock.h"
-#include "node/dispatcher.h"
-#include "node/endpoint.h"
-#include "node/entry_request.h"
-#include "node/gate_service.h"
-#include "node/key_service.h"
+#include "node/entry/dispatcher.h"
+#include "node/entry/entry_request.h"
+#include "node/gate/gate_service.h"
+#include "node/http/endpoint.h"
+#include "node/keys/key_service.h"
 #include "node/log.h"
 
 #include <algorithm>
--- a/src/node/entry_service.h
+++ b/src/node/entry/entry_service.h
@@ -4,8 +4,8 @@
 /// Turns HTTP requests of callers and of the own backend server into calls, and their ends into HTTP answers.
 
 #include "node/context.h"
-#include "node/gate_service.h"
-#include "node/http_listener.h"
+#include "node/gate/gate_service.h"
+#include "node/http/http_listener.h"
 
 #include <unordered_map>
 
--- a/src/node/gate_backend.cpp
+++ b/src/node/gate/gate_backend.cpp
@@ -2,7 +2,7 @@
 /// What the gate believes of its backend server: announcements, departures, the check of a first announcement.
 
 #include "node/clock.h"
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
 #include "node/log.h"
 
 #include <algorithm>
--- a/src/node/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// The last hop before the backend server.
 
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
 
 #include "node/clock.h"
 #include "node/log.h"
--- a/src/node/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -3,8 +3,8 @@
 /// @file
 /// The last hop: admits calls to the backend server on this host, runs them and states how they ended.
 
-#include "node/backend_client.h"
 #include "node/context.h"
+#include "node/gate/backend_client.h"
 
 #include <deque>
 #include <unordered_map>
--- a/src/node/endpoint_asio.cpp
+++ b/src/node/http/endpoint_asio.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Addresses and listening sockets on Boost.Asio.
 
-#include "node/endpoint.h"
+#include "node/http/endpoint.h"
 
 #include <chicoryspar/http.h>
 
--- a/src/node/http_listener.h
+++ b/src/node/http/http_listener.h
@@ -3,7 +3,7 @@
 /// @file
 /// HTTP server of the call path: one listening port, bounded connections, headers and bodies.
 
-#include "node/endpoint.h"
+#include "node/http/endpoint.h"
 #include <chicoryspar/http.h>
 
 #include <functional>
--- a/src/node/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// HTTP server of the call path on Boost.Beast.
 
-#include "node/http_listener.h"
+#include "node/http/http_listener.h"
 
 #include <algorithm>
 #include <deque>
--- a/src/node/key_entry.cpp
+++ b/src/node/keys/key_entry.cpp
@@ -1,10 +1,10 @@
 /// @file
 /// The entry node's part of a keyed call: finds the record owner and passes its answer on.
 
-#include "node/key_entry.h"
+#include "node/keys/key_entry.h"
 
 #include "node/clock.h"
-#include "node/peer_set.h"
+#include "node/peers/peer_set.h"
 
 namespace chicoryspar {
 namespace {
--- a/src/node/key_entry.h
+++ b/src/node/keys/key_entry.h
@@ -3,7 +3,7 @@
 /// @file
 /// A keyed call at its entry node.
 
-#include "node/key_service.h"
+#include "node/keys/key_service.h"
 
 namespace chicoryspar {
 
--- a/src/node/key_service.cpp
+++ b/src/node/keys/key_service.cpp
@@ -1,14 +1,14 @@
 /// @file
 /// Record owner and executor of keyed calls.
 
-#include "node/key_service.h"
+#include "node/keys/key_service.h"
 
 #include "node/clock.h"
-#include "node/dispatcher.h"
-#include "node/entry_request.h"
-#include "node/gate_service.h"
-#include "node/key_entry.h"
-#include "node/peer_set.h"
+#include "node/entry/dispatcher.h"
+#include "node/entry/entry_request.h"
+#include "node/gate/gate_service.h"
+#include "node/keys/key_entry.h"
+#include "node/peers/peer_set.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,19 +4,19 @@
 #include <chicoryspar/node.h>
 
 #include "node/clock.h"
-#include "node/config_driver.h"
-#include "node/contact_directory.h"
 #include "node/context.h"
-#include "node/dispatcher.h"
-#include "node/entry_service.h"
-#include "node/gate_service.h"
-#include "node/http_listener.h"
-#include "node/key_service.h"
+#include "node/control/config_driver.h"
+#include "node/control/contact_directory.h"
+#include "node/control/operator_api.h"
+#include "node/control/status_reporter.h"
+#include "node/entry/dispatcher.h"
+#include "node/entry/entry_service.h"
+#include "node/gate/gate_service.h"
+#include "node/http/http_listener.h"
+#include "node/keys/key_service.h"
 #include "node/log.h"
-#include "node/membership_driver.h"
-#include "node/operator_api.h"
-#include "node/peer_set.h"
-#include "node/status_reporter.h"
+#include "node/peers/membership_driver.h"
+#include "node/peers/peer_set.h"
 
 #include <csignal>
 #include <fstream>
--- a/src/node/membership_driver.cpp
+++ b/src/node/peers/membership_driver.cpp
@@ -1,13 +1,13 @@
 /// @file
 /// Membership datagrams over UDP.
 
-#include "node/membership_driver.h"
+#include "node/peers/membership_driver.h"
 
 #include "node/clock.h"
-#include "node/endpoint.h"
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
+#include "node/http/endpoint.h"
 #include "node/log.h"
-#include "node/signature.h"
+#include "node/peers/signature.h"
 
 namespace chicoryspar {
 
--- a/src/node/peer_connection_asio.cpp
+++ b/src/node/peers/peer_connection_asio.cpp
@@ -1,10 +1,10 @@
 /// @file
 /// TCP connection between two nodes on Boost.Asio.
 
-#include "node/peer_connection.h"
+#include "node/peers/peer_connection.h"
 
 #include "node/clock.h"
-#include "node/signature.h"
+#include "node/peers/signature.h"
 
 #include <algorithm>
 
--- a/src/node/peer_set.cpp
+++ b/src/node/peers/peer_set.cpp
@@ -1,10 +1,10 @@
 /// @file
 /// Connections to other nodes.
 
-#include "node/peer_set.h"
+#include "node/peers/peer_set.h"
 
 #include "node/clock.h"
-#include "node/endpoint.h"
+#include "node/http/endpoint.h"
 #include "node/log.h"
 
 #include <algorithm>
--- a/src/node/peer_set.h
+++ b/src/node/peers/peer_set.h
@@ -4,7 +4,7 @@
 /// Connections to other nodes: calls sent over them, their answers, and frames of other parts.
 
 #include "node/context.h"
-#include "node/peer_connection.h"
+#include "node/peers/peer_connection.h"
 
 #include <unordered_map>
 #include <unordered_set>
--- a/src/node/signature_openssl.cpp
+++ b/src/node/peers/signature_openssl.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Signatures through OpenSSL.
 
-#include "node/signature.h"
+#include "node/peers/signature.h"
 
 #include <array>
 
--- a/tests/io_gate_announcements.cpp
+++ b/tests/io_gate_announcements.cpp
@@ -2,7 +2,7 @@
 /// What the gate believes of its backend server: order of announcements, departures, rebirths, and late news after a restart of the node.
 
 #include "node/clock.h"
-#include "node/gate_service.h"
+#include "node/gate/gate_service.h"
 #include "platform/platform.h"
 
 #include <gtest/gtest.h>
--- a/tests/io_http_listener.cpp
+++ b/tests/io_http_listener.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Tests of the HTTP listener against raw sockets: limits, malformed and random bytes, callers that go away.
 
-#include "node/http_listener.h"
+#include "node/http/http_listener.h"
 
 #include <atomic>
 #include <chrono>
--- a/tests/io_membership.cpp
+++ b/tests/io_membership.cpp
@@ -2,7 +2,7 @@
 /// Tests of the membership driver: several nodes on loopback, a wrong fleet key, an end without notice, a planned leave.
 
 #include "node/clock.h"
-#include "node/membership_driver.h"
+#include "node/peers/membership_driver.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/io_peer_connection.cpp
+++ b/tests/io_peer_connection.cpp
@@ -1,7 +1,7 @@
 /// @file
 /// Tests of connections between nodes: authentication, silence, garbage and what is known of frames that were queued.
 
-#include "node/peer_connection.h"
+#include "node/peers/peer_connection.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
