A call refused in its whole region ends where others refuse it too

Change: once each upstream of the region was tried, another region is used only while it is open to that rank.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -447,7 +447,7 @@
     /// Invalid when refused.
     NodeId node;
     RouteReason route = RouteReason::None;
-    /// None unless refused: NoUpstream, EntryLevel or CrossRegionCap.
+    /// None unless refused: NoUpstream, EntryLevel, LimitReached (each upstream was tried) or CrossRegionCap.
     Reason refusal = Reason::None;
     Duration retryAfter{0};
 };
--- a/src/overload/gate.cpp
+++ b/src/overload/gate.cpp
@@ -95,8 +95,8 @@
 {
     auto &queue = isOrder(request.rank) ? state.orders : state.waiting;
     // Under sustained overload a longer queue only delays what is served, and the lowest ranks give way at once.
-    const bool isOverfull = !isOrder(request.rank) && isSustained(state, now)
-        && static_cast<double>(queue.size()) >= kMaxBacklogs * targetBacklog(state, now);
+    const bool isOverfull =
+        !isOrder(request.rank) && isSustained(state, now) && static_cast<double>(queue.size()) >= kMaxBacklogs * targetBacklog(state, now);
     if ((queue.isFull() || isOverfull) && (isOrder(request.rank) || !displace(state, now, request))) {
         return refusal(state, now, request, Reason::QueueFull);
     }
--- a/src/overload/router.cpp
+++ b/src/overload/router.cpp
@@ -149,8 +149,7 @@
 
     bool isSpilling(const Pool &near) const
     {
-        const auto saturated =
-            filter(near, [this](const Upstream &upstream) { return isEjected(upstream, now) || isFull(upstream); });
+        const auto saturated = filter(near, [this](const Upstream &upstream) { return isEjected(upstream, now) || isFull(upstream); });
         return saturated.size * 100 >= near.size * state.options.spillAtPercent;
     }
 
@@ -184,16 +183,25 @@
         return std::nullopt;
     }
 
+    /// A ready upstream of the own region exists, tried before or not.
+    bool isRegionPresent() const
+    {
+        const auto last = state.upstreams.begin() + static_cast<std::ptrdiff_t>(state.count);
+        return std::any_of(state.upstreams.begin(), last, [this](const Upstream &upstream) {
+            return upstream.candidate.ready && tierOf(state.options, upstream.candidate) != Tier::Far;
+        });
+    }
+
     RouteDecision run() const
     {
         const auto near = pool(Tier::Zone, Tier::Region);
         const auto far = pool(Tier::Far, Tier::Far);
-        if (near.size + far.size == 0) {
+        const bool isGone = !isRegionPresent();
+        if (isGone && far.size == 0) {
             return {.refusal = Reason::NoUpstream, .retryAfter = kEntryRetryAfter};
         }
         bool isCapped = false;
-        const bool isGone = near.size == 0;
-        if (far.size > 0 && (isGone || isSpilling(near))) {
+        if (far.size > 0 && isSpilling(near)) {
             const auto reason = isGone ? RouteReason::OwnRegionGone : RouteReason::OwnRegionSaturated;
             if (const auto decision = chooseFar(far, reason, isCapped)) {
                 return *decision;
@@ -205,6 +213,10 @@
         if (isGone) {
             return isCapped ? RouteDecision{.refusal = Reason::CrossRegionCap, .retryAfter = kEntryRetryAfter} : refuseFar(far);
         }
+        if (near.size == 0) {
+            // Each was tried, and the way to a region that refuses the rank too only costs.
+            return {.refusal = Reason::LimitReached, .retryAfter = kEntryRetryAfter};
+        }
         return chooseRefusing(near);
     }
 
--- a/tests/test_overload_router.cpp
+++ b/tests/test_overload_router.cpp
@@ -357,3 +357,31 @@
     EXPECT_NE(regionOf(router.choose(now + 1ms, random, {.rank = low}).node), 0U);
     EXPECT_EQ(regionOf(router.choose(now + 1ms, random, {.rank = high}).node), 0U);
 }
+
+/// A call that its whole region refused isn't carried to other regions that refuse it as well.
+TEST(Router, CallRefusedInItsRegionEndsWhereOthersRefuseItToo)
+{
+    TimePoint now{1h};
+    Random random(1);
+    Router router(now, {.zone = 0, .region = 0});
+    router.setCandidates(now, makeCandidates());
+    const Rank low{lowestRank(RequestClass::Lookup).value + 100};
+    for (std::uint64_t n = 1; n <= 6; ++n) {
+        router.onSent(now, {n}, 1);
+        router.onResult(now, {n},
+                        {.rank = low,
+                         .latency = 5ms,
+                         .outcome = Outcome::NotRun,
+                         .reason = Reason::QueueFull,
+                         .level = Level{lowestRank(RequestClass::Lookup).value + 1000}});
+    }
+    const std::array<NodeId, 2> tried{NodeId{1}, NodeId{2}};
+    const RouteRequest request{.rank = low, .isAdmittedAbove = true};
+    EXPECT_EQ(router.choose(now + 1ms, random, request, tried).refusal, Reason::LimitReached);
+    // Two of another region have room again.
+    for (const std::uint64_t n : {3, 4}) {
+        router.onSent(now, {n}, 1);
+        router.onResult(now + 2s, {n}, {.rank = low, .latency = 5ms, .level = Level{}});
+    }
+    EXPECT_EQ(regionOf(router.choose(now + 2s, random, request, tried).node), 1U);
+}
