--- a/scripts/soak_actions.py
+++ b/scripts/soak_actions.py
@@ -75,7 +75,7 @@
 
 
 def set_platform_faults(host, draw):
-    host.mesh.set_platform_faults(**draw.choice([{"down": True}, {"silent": True}, {"slowMs": 800}, {"answerLost": True}, {"errorShare": 0.5}]))
+    host.mesh.set_platform_faults(**draw.choice([{"down": True}, {"silent": True}, {"slowMs": 800}, {"answerLost": True}, {"errorShare": 50}]))
 
 
 def clear_platform_faults(host, _draw):
