Gate finds the knee of a saturated backend server

Cause: the smallest services slow down by a third from 95 % of their places on, and gates kept every place: trials compared limits 30 % apart, between which the gain and the loss cancel out. Ruled out: queueing inside the backend server (its latency stays under 1.5 times the base).

--- a/src/overload/limit.h
+++ b/src/overload/limit.h
@@ -35,6 +35,32 @@
     double relativeVariance() const;
 };
 
+struct LimitStep
+{
+    double limit = 0;
+    LimitReason reason = LimitReason::Unknown;
+};
+
+/// Search for the limit past which a saturated backend server slows down by more than the place is worth. Two neighbouring limits
+/// take turns, so that a drift of the latency meets both.
+struct KneeSearch
+{
+    /// Highest limit that is worth its latency; 0 for all places.
+    double ceiling = 0;
+    /// The limits compared; none while the upper one is 0.
+    LimitArm upper;
+    LimitArm lower;
+    bool isOnLower = false;
+    bool isUpward = false;
+    /// The next comparison is with a higher limit.
+    bool isNextUpward = false;
+    /// Answers since the limits last took turns.
+    std::uint32_t turnAnswers = 0;
+    /// Windows until the next comparison, and between the last two.
+    std::uint32_t wait = 0;
+    std::uint32_t spacing = 0;
+};
+
 /// What algorithms remember between windows.
 struct LimitMemory
 {
@@ -55,16 +81,17 @@
     /// Windows until the next trial, and between the last two.
     std::uint32_t trialWait = 0;
     std::uint32_t trialSpacing = 0;
+    KneeSearch knee;
 };
 
 /// Compares the latency of a window with the base.
 void observe(LimitMemory &memory, const LimitWindow &window, bool wasReached);
 
-struct LimitStep
-{
-    double limit = 0;
-    LimitReason reason = LimitReason::Unknown;
-};
+/// Takes one window in which the limit was reached into the search.
+LimitStep stepKnee(LimitMemory &memory, const LimitWindow &window, double limit, double highest);
+
+/// Moves a limit towards @a highest.
+LimitStep growStep(double limit, double highest);
 
 /// Computes the next limit from one window in which the limit was reached.
 using LimitFunction = LimitStep (*)(LimitMemory &memory, const LimitWindow &window, double limit, double highest);
--- a/src/overload/limit_algorithms.cpp
+++ b/src/overload/limit_algorithms.cpp
@@ -36,12 +36,6 @@
     return {std::min(limit * kDecrease, running), LimitReason::Shedding};
 }
 
-LimitStep growStep(double limit, double highest)
-{
-    const auto next = std::min(highest, limit + std::max(1.0, limit * 0.05));
-    return {next, next < highest ? LimitReason::Growing : LimitReason::Slots};
-}
-
 LimitStep stepStatic(LimitMemory &, const LimitWindow &, double, double highest)
 {
     return {highest, LimitReason::Slots};
@@ -123,6 +117,7 @@
     if (window.sheds > 0) {
         memory.trial = {};
         memory.present = {};
+        memory.knee.upper = {};
         return shedStep(window, limit);
     }
     if (!memory.isQueueing) {
@@ -130,8 +125,9 @@
         memory.present = {};
         memory.trialSpacing = 0;
         memory.trialWait = kMovedSpacing;
-        return growStep(limit, highest);
+        return stepKnee(memory, window, limit, highest);
     }
+    memory.knee.upper = {};
     if (memory.ignoredAnswers > 0) {
         memory.ignoredAnswers -= std::min(memory.ignoredAnswers, window.answers);
         return {limit, limit < highest ? LimitReason::Queueing : LimitReason::Slots};
@@ -203,6 +199,12 @@
     memory.isQueueing = mean > memory.baseSeconds * kLatencyTolerance;
 }
 
+LimitStep growStep(double limit, double highest)
+{
+    const auto next = std::min(highest, limit + std::max(1.0, limit * 0.05));
+    return {next, next < highest ? LimitReason::Growing : LimitReason::Slots};
+}
+
 LimitFunction functionOf(LimitAlgorithm algorithm)
 {
     return kFunctions[static_cast<std::size_t>(algorithm)];
--- a/tests/test_overload_limit.cpp
+++ b/tests/test_overload_limit.cpp
@@ -15,14 +15,18 @@
 
 constexpr std::uint32_t kAnnounced = 20;
 
+/// Backend server that slows down by this factor from this share of its places on, as the users' smallest services do.
+constexpr double kKneeShare = 0.95;
+constexpr double kKneeFactor = 1.3;
+
 /// Keeps a backend server saturated for two minutes after a light start, with exponential latencies.
 /// @param latencyAt mean latency in seconds at a number of calls in flight
 /// @returns the mean limit of the last 20 s
-double settledLimit(std::uint64_t seed, const std::function<double(double)> &latencyAt)
+double settledLimit(std::uint64_t seed, const std::function<double(double)> &latencyAt, std::uint32_t slots = kAnnounced)
 {
     Random random(seed);
     TimePoint now{1h};
-    LimitControl control(now, {.algorithm = LimitAlgorithm::Throughput, .slots = kAnnounced, .coldStart = Duration{0}});
+    LimitControl control(now, {.algorithm = LimitAlgorithm::Throughput, .slots = slots, .coldStart = Duration{0}});
     const auto end = now + 120s;
     double sum = 0;
     int count = 0;
@@ -104,3 +108,29 @@
     }
     EXPECT_LE(control.limit(now), kReal * 2);
 }
+
+TEST(KneeSearch, KeepsBelowTheNumberOfCallsThatSlowsTheBackendServerDown)
+{
+    for (const std::uint32_t slots : {6, 9, 42}) {
+        const auto knee = [slots](double inFlight) { return 0.03 * (inFlight >= kKneeShare * slots ? kKneeFactor : 1.0); };
+        double sum = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            sum += settledLimit(seed, knee, slots);
+        }
+        // Places times answers of each at the mean limit; all places give slots / kKneeFactor.
+        EXPECT_LT(sum / 10, kKneeShare * slots) << slots;
+        EXPECT_GT(sum / 10, 0.78 * slots) << slots;
+    }
+}
+
+TEST(KneeSearch, KeepsEveryPlaceOfABackendServerThatDoesNotSlowDown)
+{
+    for (const std::uint32_t slots : {6, 9, 42}) {
+        double sum = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            sum += settledLimit(
+                seed, [](double) { return 0.03; }, slots);
+        }
+        EXPECT_GT(sum / 10, 0.95 * slots) << slots;
+    }
+}
