One comparison of two limits; Beast messages and the byte budget in files of their own

Cause: the knee search repeated the comparison of the throughput trial, and the listener and the client towards the backend server each had a translation of messages. No decision changes: test_overload_limit, io_http_listener, io_backend_client pass as before.

--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -4,6 +4,7 @@
 #include "node/gate/backend_client.h"
 
 #include "node/http/endpoint.h"
+#include "node/http/message_beast.h"
 #include "node/log.h"
 
 #include <algorithm>
@@ -46,38 +47,6 @@
     return seconds ? std::optional<Duration>(std::chrono::seconds(*seconds)) : std::nullopt;
 }
 
-http::request<http::string_body> toMessage(HttpRequest request, const std::string &host)
-{
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string(request.verb);
-    message.target(request.target);
-    for (const auto &it : request.headers) {
-        message.insert(it.name, it.value);
-    }
-    if (message.find(http::field::host) == message.end()) {
-        message.set(http::field::host, host);
-    }
-    message.body() = std::move(request.body);
-    message.prepare_payload();
-    return message;
-}
-
-HttpResponse toResponse(http::response<http::string_body> &message, bool isHead)
-{
-    HttpResponse response;
-    response.status = static_cast<std::uint16_t>(message.result_int());
-    for (const auto &it : message) {
-        const auto name = it.name_string();
-        const bool isLength = it.name() == http::field::content_length && !isHead;
-        if (!isHopByHop({name.data(), name.size()}) && !isLength) {
-            response.headers.push_back({std::string(name), std::string(it.value())});
-        }
-    }
-    response.body = std::move(message.body());
-    return response;
-}
-
 } // namespace
 
 /// One connection, idle or with one exchange.
--- a/src/node/http/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -3,6 +3,8 @@
 
 #include "node/http/http_listener.h"
 
+#include "node/http/message_beast.h"
+
 #include <algorithm>
 #include <deque>
 #include <unordered_set>
@@ -27,74 +29,8 @@
 /// How long a closing connection still reads what the caller sends.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
-HttpRequest toRequest(http::request<http::string_body> &message)
-{
-    HttpRequest request;
-    request.verb = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &it : message) {
-        const auto name = it.name_string();
-        if (!isHopByHop({name.data(), name.size()}) && it.name() != http::field::content_length) {
-            request.headers.push_back({std::string(name), std::string(it.value())});
-        }
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
-http::response<http::string_body> toMessage(HttpResponse response, bool keepAlive, bool isHead)
-{
-    http::response<http::string_body> message;
-    message.version(11);
-    message.result(response.status);
-    for (const auto &it : response.headers) {
-        message.insert(it.name, it.value);
-    }
-    message.keep_alive(keepAlive);
-    if (isHead) {
-        return message;
-    }
-    message.body() = std::move(response.body);
-    const bool hasNoBody = response.status == 204 || response.status == 304 || response.status < 200;
-    if (!hasNoBody) {
-        message.content_length(message.body().size());
-    }
-    return message;
-}
-
-/// Returns whether @a ec says that the bytes aren't HTTP; false for closed, silent and timed-out connections.
-bool isSyntaxError(const beast::error_code &ec)
-{
-    return ec.category() == http::make_error_code(http::error::bad_method).category() && ec != http::error::end_of_stream
-        && ec != http::error::partial_message;
-}
-
 } // namespace
 
-ByteBudget::ByteBudget(std::uint64_t limit)
-    : m_limit(limit)
-{
-}
-
-bool ByteBudget::take(std::uint64_t bytes)
-{
-    if (bytes > m_limit - m_used) {
-        return false;
-    }
-    m_used += bytes;
-    return true;
-}
-
-void ByteBudget::give(std::uint64_t bytes)
-{
-    m_used -= bytes;
-}
-
-std::uint64_t ByteBudget::used() const
-{
-    return m_used;
-}
-
 /// What a listener and its sessions share.
 struct HttpListener::Shared
 {
--- a/src/overload/limit.h
+++ b/src/overload/limit.h
@@ -35,6 +35,9 @@
     double relativeVariance() const;
 };
 
+/// Tells whether the higher of two limits gives enough more answers for its latency; nothing while that isn't clear.
+std::optional<bool> isHigherWorthIt(const LimitArm &first, const LimitArm &second);
+
 struct LimitStep
 {
     double limit = 0;
--- a/src/overload/limit_algorithms.cpp
+++ b/src/overload/limit_algorithms.cpp
@@ -94,17 +94,9 @@
 /// Compares the two limits of a trial: the higher one is kept unless less than half of its surplus shows in throughput.
 LimitStep judgeTrial(LimitMemory &memory, double highest)
 {
-    const auto &present = memory.present;
     const auto &trial = memory.trial;
-    const auto limitChange = std::log(trial.limit / present.limit);
-    const auto latencyChange = std::log(trial.meanSeconds() / present.meanSeconds());
-    const auto elasticity = 1 - latencyChange / limitChange;
-    const auto error = std::sqrt(present.relativeVariance() + trial.relativeVariance()) / std::abs(limitChange);
-    const bool isHigherBetter = elasticity - kHigherConfidence * error > kMinElasticity;
-    const bool isLowerBetter = elasticity + kLowerConfidence * error < kMinElasticity;
-    const bool isTrialHigher = limitChange > 0;
-    if (isHigherBetter || isLowerBetter) {
-        return endTrial(memory, isHigherBetter == isTrialHigher, highest);
+    if (const auto isHigher = isHigherWorthIt(memory.present, trial)) {
+        return endTrial(memory, *isHigher == (trial.limit > memory.present.limit), highest);
     }
     if (trial.answers >= kMaxTrialAnswers) {
         return endTrial(memory, false, highest);
@@ -178,6 +170,18 @@
     return variance / (mean * mean) / answers;
 }
 
+std::optional<bool> isHigherWorthIt(const LimitArm &first, const LimitArm &second)
+{
+    const auto limitChange = std::log(second.limit / first.limit);
+    const auto latencyChange = std::log(second.meanSeconds() / first.meanSeconds());
+    const auto elasticity = 1 - latencyChange / limitChange;
+    const auto error = std::sqrt(first.relativeVariance() + second.relativeVariance()) / std::abs(limitChange);
+    if (elasticity + kLowerConfidence * error < kMinElasticity) {
+        return false;
+    }
+    return elasticity - kHigherConfidence * error > kMinElasticity ? std::optional(true) : std::nullopt;
+}
+
 void observe(LimitMemory &memory, const LimitWindow &window, bool wasReached)
 {
     memory.sample.add(window);
--- a/src/overload/limit_knee.cpp
+++ b/src/overload/limit_knee.cpp
@@ -11,11 +11,6 @@
 
 /// Share of the limit between the two that are compared.
 constexpr double kStep = 0.07;
-/// Growth of throughput over growth of the limit, in logarithms, from which the higher limit is worth its latency.
-constexpr double kMinElasticity = 0.5;
-/// Standard errors by which a comparison must be clear in favour of the lower or the higher limit.
-constexpr double kLowerConfidence = 2;
-constexpr double kHigherConfidence = 0.5;
 /// Answers before the limits take turns, and at each of them before they are compared and at the latest.
 constexpr std::uint32_t kTurnAnswers = 100;
 constexpr std::uint32_t kMinAnswers = 300;
@@ -76,15 +71,8 @@
     auto &knee = memory.knee;
     const auto answers = std::min(knee.upper.answers, knee.lower.answers);
     if (answers >= kMinAnswers) {
-        const auto limitChange = std::log(knee.upper.limit / knee.lower.limit);
-        const auto latencyChange = std::log(knee.upper.meanSeconds() / knee.lower.meanSeconds());
-        const auto elasticity = 1 - latencyChange / limitChange;
-        const auto error = std::sqrt(knee.upper.relativeVariance() + knee.lower.relativeVariance()) / limitChange;
-        if (elasticity + kLowerConfidence * error < kMinElasticity) {
-            return end(knee, true, highest);
-        }
-        if (elasticity - kHigherConfidence * error > kMinElasticity) {
-            return end(knee, false, highest);
+        if (const auto isHigher = isHigherWorthIt(knee.lower, knee.upper)) {
+            return end(knee, !*isHigher, highest);
         }
         if (answers >= kMaxAnswers) {
             return end(knee, knee.isUpward, highest);
