Knee search only from twelve places on

Change: no search below twelve places. The large sites (36 to 107 places) run the same code as before; the smallest services of the base sites (6 and 9) again without the search.

--- a/src/overload/limit_knee.cpp
+++ b/src/overload/limit_knee.cpp
@@ -11,6 +11,8 @@
 
 /// Share of the limit between the two that are compared.
 constexpr double kStep = 0.07;
+/// Fewest places at which the search runs: below, one place is so large a part that the comparisons cost more than a knee.
+constexpr double kMinPlaces = 12;
 /// Answers before the limits take turns, and at each of them before they are compared and at the latest.
 constexpr std::uint32_t kTurnAnswers = 100;
 constexpr std::uint32_t kMinAnswers = 300;
@@ -100,8 +102,8 @@
         if (limit < top) {
             return growStep(limit, top);
         }
-        if (knee.wait > 0) {
-            --knee.wait;
+        if (knee.wait > 0 || top < kMinPlaces) {
+            knee.wait -= knee.wait > 0 ? 1 : 0;
             return stepTo(top, highest);
         }
         return begin(memory, top, highest);
