--- a/tests/test_overload_router.cpp
+++ b/tests/test_overload_router.cpp
@@ -336,6 +336,7 @@
         for (int n = 0; n < 100; ++n) {
             const auto lowNode = router.choose(now + 1ms, random, {.rank = low, .isAdmittedAbove = isAdmittedAbove}).node;
             const auto highNode = router.choose(now + 1ms, random, {.rank = high, .isAdmittedAbove = isAdmittedAbove}).node;
+            ASSERT_TRUE(lowNode.isValid());
             EXPECT_NE(regionOf(lowNode), 0U);
             EXPECT_EQ(regionOf(highNode), 0U);
         }
@@ -354,7 +355,9 @@
         router.onSent(now, {n}, 1);
         router.onResult(now, {n}, {.rank = low, .latency = 5ms, .outcome = Outcome::NotRun, .reason = Reason::QueueFull});
     }
-    EXPECT_NE(regionOf(router.choose(now + 1ms, random, {.rank = low}).node), 0U);
+    const auto lowNode = router.choose(now + 1ms, random, {.rank = low}).node;
+    ASSERT_TRUE(lowNode.isValid());
+    EXPECT_NE(regionOf(lowNode), 0U);
     EXPECT_EQ(regionOf(router.choose(now + 1ms, random, {.rank = high}).node), 0U);
 }
 
