--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -259,7 +259,7 @@
 /// Formats @a wall as RFC 3339 text in UTC, with a resolution of one second.
 std::string formatTimestamp(WallTime wall);
 
-constexpr std::size_t kMaxObjectBytes = 1024 * 1024;
+constexpr std::size_t kMaxObjectBytes = 2 * 1024 * 1024;
 constexpr std::size_t kMaxObjects = 4096;
 
 /// Key of an object in a ConfigSet.
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -114,13 +114,15 @@
 }
 
 /// Returns the hash of what affects the behaviour of nodes: everything but the status (already removed), the version and the
-/// platform's managedFields.
-std::uint64_t hashContent(Json json)
+/// platform's managedFields. @a json is as before on return.
+std::uint64_t hashContent(Json &json)
 {
-    auto &metadata = json["metadata"];
-    metadata.erase("resourceVersion");
-    metadata.erase("managedFields");
-    return hashBytes(json.dump(-1, ' ', false, Json::error_handler_t::replace));
+    const auto metadata = json["metadata"];
+    json["metadata"].erase("resourceVersion");
+    json["metadata"].erase("managedFields");
+    const auto hash = hashBytes(json.dump(-1, ' ', false, Json::error_handler_t::replace));
+    json["metadata"] = metadata;
+    return hash;
 }
 
 std::shared_ptr<const ConfigObject> makeObject(Json json, const ParsedObject &parsed, ObjectSpec spec)
@@ -159,7 +161,7 @@
 {
     ParsedObject parsed;
     if (json.size() > kMaxObjectBytes || exceedsMaxNestingDepth(json)) {
-        parsed.findings.push_back({"object", "must be at most 1 MiB of JSON, nested at most 32 levels deep"});
+        parsed.findings.push_back({"object", "must be at most 2 MiB of JSON, nested at most 32 levels deep"});
         return parsed;
     }
     auto value = Json::parse(json, nullptr, false);
@@ -177,7 +179,8 @@
     ObjectSpec spec;
     if (parsed.kind != ObjectKind::Count) {
         const auto it = value.find("spec");
-        spec = readSpec(parsed.kind, it == value.end() ? Json::object() : *it, findings);
+        static const auto s_empty = Json::object();
+        spec = readSpec(parsed.kind, it == value.end() ? s_empty : *it, findings);
     }
     parsed.findings = prefixFindings(parsed, std::move(findings.faults));
     parsed.unknownKeys = prefixFindings(parsed, std::move(findings.unknownKeys));
--- a/src/node/control/contact_directory.cpp
+++ b/src/node/control/contact_directory.cpp
@@ -3,6 +3,7 @@
 
 #include "node/control/contact_directory.h"
 
+#include "node/clock.h"
 #include "node/log.h"
 
 #include <algorithm>
@@ -14,16 +15,20 @@
 
 /// Delay of the second list call; long enough for nodes that start at the same time to have written their contacts.
 constexpr Duration kSecondListDelay = std::chrono::milliseconds(1500);
-/// Bounds the time until two parts of a cluster that have lost contact find each other again.
-constexpr Duration kListInterval = std::chrono::seconds(60);
-constexpr Duration kMinBackoff = std::chrono::milliseconds(300);
+/// Mean time between two lists by any node, and the shortest time between two lists by one node. They bound the time until two parts of a
+/// cluster that have lost contact find each other again, and the rate of lists whatever the number of nodes.
+constexpr Duration kFleetListInterval = std::chrono::seconds(2);
+constexpr Duration kMinListInterval = std::chrono::seconds(60);
+/// A list may be some seconds old, so a contact written less than this ago may be missing from it.
+constexpr Duration kMaxListAge = std::chrono::seconds(30);
 constexpr Duration kMaxBackoff = std::chrono::seconds(4);
+constexpr Duration kMinBackoff = std::chrono::milliseconds(300);
 
-std::string contactAddress(const std::string &object)
+ListedContact readContact(const std::string &object)
 {
     const auto parsed = parseObject(object);
     const auto *contact = parsed.object ? std::get_if<ContactSpec>(&parsed.object->spec) : nullptr;
-    return contact ? contact->address : std::string();
+    return {.name = parsed.name, .address = contact ? contact->address : std::string(), .version = parsed.version};
 }
 
 } // namespace
@@ -34,6 +39,7 @@
     , m_store(store)
     , m_timer(context.io)
     , m_isEnabled(isEnabled)
+    , m_sweep(ContactSweepOptions{.self = context.self})
 {
 }
 
@@ -97,6 +103,7 @@
         writeLog(LogLevel::Warning, "can't write this node's contact to the store", {{"error", ec.message()}});
     } else {
         m_isWritten = true;
+        m_writtenAt = steadyNow();
     }
     // The contacts of other nodes are useful even if the write failed.
     listContacts();
@@ -104,19 +111,19 @@
 
 void ContactDirectory::listContacts()
 {
-    std::function<void(std::error_code, std::vector<std::string>)> handler =
-        [this](std::error_code ec, const std::vector<std::string> &contacts) { onListed(ec, contacts); };
+    std::function<void(std::error_code, std::vector<ListedContact>)> handler =
+        [this](std::error_code ec, const std::vector<ListedContact> &contacts) { onListed(ec, contacts); };
     m_store.store().listObjects(ObjectKind::Contact,
                                 [wrapped = m_store.bindToNodeThread(std::move(handler))](std::error_code ec, const ObjectList &objects) {
-                                    std::vector<std::string> addresses;
+                                    std::vector<ListedContact> contacts;
                                     for (const auto &it : objects.objects) {
-                                        addresses.push_back(contactAddress(it));
+                                        contacts.push_back(readContact(it));
                                     }
-                                    wrapped(ec, std::move(addresses));
+                                    wrapped(ec, std::move(contacts));
                                 });
 }
 
-void ContactDirectory::onListed(std::error_code ec, const std::vector<std::string> &contacts)
+void ContactDirectory::onListed(std::error_code ec, const std::vector<ListedContact> &contacts)
 {
     if (ec) {
         scheduleRetry();
@@ -124,20 +131,54 @@
     }
     std::vector<std::string> others;
     for (const auto &it : contacts) {
-        if (!it.empty() && it != m_context.peersAddress) {
-            others.push_back(it);
+        if (!it.address.empty() && it.address != m_context.peersAddress) {
+            others.push_back(it.address);
         }
     }
     m_membership.setContacts(others);
-    if (!m_isWritten) {
+    sweep(contacts);
+    if (isOwnContactMissing(steadyNow(), contacts)) {
+        writeLog(LogLevel::Warning, "this node's contact is missing from the store, writing it again");
+        m_isWritten = false;
+    }
+    const bool isAlone = m_membership.membership().presentCount() <= 1;
+    if (!m_isWritten || (m_hasListed && isAlone)) {
+        // A list may be older than the contacts of nodes that started with this one.
         scheduleRetry();
         return;
     }
     m_backoff = Duration{0};
-    scheduleRun(m_hasListed ? kListInterval : kSecondListDelay);
+    scheduleRun(m_hasListed ? listInterval() : kSecondListDelay);
     m_hasListed = true;
 }
 
+Duration ContactDirectory::listInterval() const
+{
+    const auto nodes = static_cast<Duration::rep>(m_membership.membership().presentCount());
+    return std::max(kMinListInterval, kFleetListInterval * nodes);
+}
+
+bool ContactDirectory::isOwnContactMissing(TimePoint now, const std::vector<ListedContact> &contacts) const
+{
+    const auto isOwn = [this](const ListedContact &it) { return it.name == m_context.settings.name; };
+    return m_isWritten && now - m_writtenAt >= kMaxListAge && std::none_of(contacts.begin(), contacts.end(), isOwn);
+}
+
+void ContactDirectory::sweep(const std::vector<ListedContact> &contacts)
+{
+    std::vector<const Member *> present;
+    for (const auto *it : m_membership.membership().members()) {
+        if (it->isPresent()) {
+            present.push_back(it);
+        }
+    }
+    for (const auto &it : m_sweep.onListed(steadyNow(), contacts, present)) {
+        writeLog(LogLevel::Info, "removing the contact of a host that is gone", {{"contact", it.name}, {"address", it.address}});
+        std::function<void(std::error_code, std::string)> handler = [](std::error_code, const std::string &) {};
+        m_store.store().removeObject(ObjectKind::Contact, it.name, it.version, m_store.bindToNodeThread(std::move(handler)));
+    }
+}
+
 void ContactDirectory::scheduleRetry()
 {
     m_backoff = std::clamp(m_backoff * 2, kMinBackoff, kMaxBackoff);
--- a/src/node/control/contact_directory.h
+++ b/src/node/control/contact_directory.h
@@ -4,6 +4,7 @@
 /// Node discovery through the store: each node writes its address as a Contact object and passes the addresses of the
 /// others to its membership.
 
+#include "membership/contact_sweep.h"
 #include "node/control/store_link.h"
 #include "node/peers/membership_driver.h"
 
@@ -27,7 +28,12 @@
     void writeOwnContact();
     void onWritten(std::error_code ec);
     void listContacts();
-    void onListed(std::error_code ec, const std::vector<std::string> &contacts);
+    void onListed(std::error_code ec, const std::vector<ListedContact> &contacts);
+    /// Removes contacts of hosts that are gone.
+    void sweep(const std::vector<ListedContact> &contacts);
+    /// Returns whether the list should contain this node's contact but doesn't: another node may have taken this host for gone.
+    bool isOwnContactMissing(TimePoint now, const std::vector<ListedContact> &contacts) const;
+    Duration listInterval() const;
     std::string makeOwnContact() const;
     void scheduleRetry();
 
@@ -39,6 +45,8 @@
     bool m_isEnabled;
     bool m_isWritten = false;
     bool m_hasListed = false;
+    TimePoint m_writtenAt{};
+    ContactSweep m_sweep;
 };
 
 } // namespace chicoryspar
--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -34,6 +34,15 @@
 constexpr Duration kLearnedIdleLimitExpiry = std::chrono::seconds(10);
 /// Responses to other requests that are skipped before the connection is closed.
 constexpr int kMaxMismatchedAnswers = 4;
+/// Interim responses (1xx) to one request that are skipped before the connection is closed.
+constexpr int kMaxInterimAnswers = 16;
+/// Bytes of a body that one read may take from the socket.
+constexpr std::size_t kBodyReadBytes = 64 * 1024;
+
+bool isInterim(unsigned status)
+{
+    return status >= 100 && status < 200;
+}
 
 /// Returns the timeout parameter of a Keep-Alive header field, or nothing when it has none.
 std::optional<Duration> parseKeepAliveTimeout(std::string_view field)
@@ -59,6 +68,7 @@
         , m_address(std::move(address))
         , m_stream(client.m_io)
         , m_timer(client.m_io)
+        , m_buf(client.m_options.maxHeaderBytes + kBodyReadBytes)
     {
     }
 
@@ -77,6 +87,7 @@
         m_exchangeId = exchange.id;
         m_done = std::move(exchange.done);
         m_mismatchedAnswers = 0;
+        m_interimAnswers = 0;
         m_isRequestWritten = false;
         if (m_client->m_options.correlationId) {
             m_correlation = m_client->m_options.correlationId(exchange.request.headers);
@@ -189,22 +200,42 @@
         m_parser->header_limit(m_client->m_options.maxHeaderBytes);
         m_parser->body_limit(m_client->m_options.maxBodyBytes);
         m_parser->skip(m_isHeadRequest);
-        http::async_read(m_stream, m_buf, *m_parser, [self = shared_from_this(), id = m_exchangeId](beast::error_code ec, std::size_t) {
+        // An eager parser goes on after a stated length over the limit, and allocates that length.
+        m_parser->eager(false);
+        m_isInTrailer = false;
+        m_trailerBytes = 0;
+        m_parser->on_chunk_header(m_onChunkHeader);
+        readSome();
+    }
+
+    /// Reads a part of the response. The parser's limits cover the head and the body, and the capacity of the buffer each line; the lines of
+    /// a trailer are counted here.
+    void readSome()
+    {
+        const auto onRead = [self = shared_from_this(), id = m_exchangeId](beast::error_code ec, std::size_t n) {
             if (self->m_exchangeId != id) {
                 return;
             }
-            if (ec) {
+            self->m_trailerBytes += self->m_isInTrailer ? n : 0;
+            if (ec || self->m_trailerBytes > self->m_client->m_options.maxHeaderBytes) {
                 self->reportStaleReset();
                 self->fail(Outcome::Unknown, Reason::BackendFailed);
-                return;
+            } else if (self->m_parser->is_done()) {
+                self->receive();
+            } else {
+                self->readSome();
             }
-            self->receive();
-        });
+        };
+        http::async_read_some(m_stream, m_buf, *m_parser, onRead);
     }
 
     void receive()
     {
         const auto &message = m_parser->get();
+        if (isInterim(message.result_int())) {
+            skipInterimAnswer();
+            return;
+        }
         // Not reused with unread bytes after the response, which belong to no request, or with an unsent rest of the request body, which
         // the backend server would read as the next request.
         const bool isReusable = message.keep_alive() && !message.need_eof() && m_buf.size() == 0 && m_isRequestWritten;
@@ -233,6 +264,16 @@
         done(std::move(result));
     }
 
+    /// Goes on to the response that follows an interim one. This client never asks for another protocol, so 101 is a fault.
+    void skipInterimAnswer()
+    {
+        if (m_parser->get().result() == http::status::switching_protocols || ++m_interimAnswers > kMaxInterimAnswers) {
+            fail(Outcome::Unknown, Reason::BackendFailed);
+            return;
+        }
+        read();
+    }
+
     /// Reports to the client that a reused connection was reset at once: the backend server had dropped it while it was idle.
     void reportStaleReset()
     {
@@ -282,6 +323,11 @@
     beast::flat_buffer m_buf;
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    /// Called by the parser for each chunk; the last one has no bytes, and a trailer follows.
+    std::function<void(std::uint64_t, beast::string_view, beast::error_code &)> m_onChunkHeader =
+        [this](std::uint64_t size, beast::string_view, beast::error_code &) { m_isInTrailer = size == 0; };
+    bool m_isInTrailer = false;
+    std::size_t m_trailerBytes = 0;
     Done m_done;
     std::uint64_t m_exchangeId = 0;
     bool m_isOpen = false;
@@ -291,6 +337,7 @@
     /// The request was written completely.
     bool m_isRequestWritten = false;
     int m_mismatchedAnswers = 0;
+    int m_interimAnswers = 0;
     std::string m_correlation;
     Duration m_idleTimeout{0};
     std::chrono::steady_clock::time_point m_idleSince;
