Gate refuses calls of a woken process; routers of large services hold subsets that differ by node

With more than 64 upstreams in a region every node kept the same 64, and the others got calls from their own zone only.

Change: PauseWatch, on the clock that also counts a suspend; a woken gate refuses calls as not run until 100 ms after its first tick. Upstreams beyond the table's size are chosen by rendezvous rank with a key of the node.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -442,6 +442,8 @@
     Duration levelExpiry = std::chrono::milliseconds(1000);
     /// Time without a result or probe after which an upstream that refuses calls is probed.
     Duration probeInterval = std::chrono::milliseconds(100);
+    /// Selects the subset of a service that has more upstreams than the router holds; differs from node to node.
+    std::uint64_t subsetKey = 0;
 };
 
 struct RouteRequest
@@ -508,7 +510,8 @@
     void configure(TimePoint now, const RouterOptions &options);
 
     /// Replaces the upstreams; the signals of those that remain are kept. Beyond kMaxCandidates, upstreams of the own zone take precedence,
-    /// then those of the own region.
+    /// then those of the own region; among equals, the rank by RouterOptions::subsetKey decides, so that each upstream is in the subsets
+    /// of about as many nodes as any other, and a join or leave moves few.
     void setCandidates(TimePoint now, std::span<const Candidate> candidates);
 
     /// Chooses an upstream, or refuses with the reason.
--- a/src/node/clock.h
+++ b/src/node/clock.h
@@ -7,9 +7,12 @@
 
 namespace chicoryspar {
 
-/// Returns the monotonic time, which also advances while the process is suspended.
+/// Returns the monotonic time, which also advances while the process is stopped, but not while the host is suspended.
 TimePoint steadyNow();
 
+/// Returns the monotonic time that also advances while the host is suspended; not comparable with steadyNow().
+TimePoint bootNow();
+
 /// Returns the wall-clock time.
 WallTime wallNow();
 
--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -154,7 +154,8 @@
                                            .crossRegionBytesPerSecond = policy.crossRegionBytesPerSecond,
                                            .spillAtPercent = policy.spillAtPercent,
                                            .ejectSharePercent = policy.ejectSharePercent,
-                                           .slowStart = policy.slowStart});
+                                           .slowStart = policy.slowStart,
+                                           .subsetKey = m_context.self.value});
     std::vector<Candidate> candidates;
     if (m_context.membership) {
         for (const auto it : m_context.membership->members()) {
--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -208,8 +208,8 @@
         readSome();
     }
 
-    /// Reads a part of the response. The parser's limits cover the head and the body, and the capacity of the buffer each line; the lines of
-    /// a trailer are counted here.
+    /// Reads a part of the response. The parser's limits cover the head and the body, and the capacity of the buffer each line; the lines
+    /// of a trailer are counted here.
     void readSome()
     {
         const auto onRead = [self = shared_from_this(), id = m_exchangeId](beast::error_code ec, std::size_t n) {
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -55,6 +55,7 @@
           })
     , m_gate(steadyNow(), GateOptions{})
     , m_timer(context.io)
+    , m_pauseWatch(bootNow())
 {
 }
 
@@ -67,6 +68,9 @@
     if (m_context.isStopping) {
         return Reason::Stopping;
     }
+    if (m_pauseWatch.isWaking(bootNow())) {
+        return Reason::NoUpstream;
+    }
     if (m_announcement.service != request.service) {
         return Reason::NoUpstream;
     }
@@ -147,6 +151,14 @@
     });
 }
 
+void GateService::onTick(TimePoint bootTime)
+{
+    if (const auto pause = m_pauseWatch.onTick(bootTime); pause > Duration{0}) {
+        writeLog(LogLevel::Warning, "process was paused; calls are refused until waiting messages are read",
+                 {{"pauseMs", std::to_string(toMilliseconds(pause))}});
+    }
+}
+
 void GateService::endUndispatched(TimePoint now, std::uint64_t ticket, Reason reason, Duration retryAfter)
 {
     logRefusal(now, m_calls.at(ticket), reason);
@@ -186,6 +198,10 @@
     // Reads the clock again, because this process may have been suspended since the admission decision.
     const auto now = steadyNow();
     auto reason = now >= call.deadline ? Reason::DeadlineExpired : Reason::None;
+    if (reason == Reason::None && m_pauseWatch.isWaking(bootNow())) {
+        // The backend server may have announced its leave during the pause.
+        reason = Reason::NoUpstream;
+    }
     if (reason == Reason::None && call.request.dispatchBefore > 0 && wallNow().time_since_epoch().count() >= call.request.dispatchBefore) {
         reason = Reason::DeadlineExpired;
     }
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -5,6 +5,7 @@
 
 #include "node/context.h"
 #include "node/gate/backend_client.h"
+#include "overload/pause_watch.h"
 
 #include <deque>
 #include <unordered_map>
@@ -88,6 +89,11 @@
     /// Periodic work: expires the last announcement when it is too old, and flushes the counted refusals to the events.
     void checkAnnouncement(TimePoint now);
 
+    /// Tells the gate that the process runs; to be called several times a second. After a pause, calls are refused as not run until the
+    /// messages that waited in the sockets have been read.
+    /// @param bootTime as returned by bootNow()
+    void onTick(TimePoint bootTime);
+
 private:
     struct Call
     {
@@ -137,6 +143,7 @@
     Announcement m_announcement;
     TimePoint m_announcedAt{};
     bool m_isDrained = false;
+    PauseWatch m_pauseWatch;
     /// This process has confirmed that the announced instance is running, by a health check or by a second announcement. Set at once
     /// in dialects without a health check.
     bool m_isConfirmed = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -213,6 +213,7 @@
                 return;
             }
             const auto now = steadyNow();
+            m_gate.onTick(bootNow());
             m_gate.checkAnnouncement(now);
             if (m_context.isStopping) {
                 continueStop(now);
--- a/src/overload/router.cpp
+++ b/src/overload/router.cpp
@@ -285,8 +285,13 @@
 {
     auto &state = *m_state;
     std::vector<Candidate> sorted(candidates.begin(), candidates.end());
-    std::stable_sort(sorted.begin(), sorted.end(),
-                     [&state](const Candidate &a, const Candidate &b) { return tierOf(state.options, a) < tierOf(state.options, b); });
+    const auto byTier = [&state](const Candidate &a, const Candidate &b) { return tierOf(state.options, a) < tierOf(state.options, b); };
+    if (sorted.size() > kMaxCandidates) {
+        const auto key = state.options.subsetKey;
+        std::sort(sorted.begin(), sorted.end(),
+                  [key](const Candidate &a, const Candidate &b) { return rendezvousWeight(a.node, key) > rendezvousWeight(b.node, key); });
+    }
+    std::stable_sort(sorted.begin(), sorted.end(), byTier);
     sorted.resize(std::min(sorted.size(), kMaxCandidates));
     std::vector<Upstream> next;
     next.reserve(sorted.size());
--- a/tests/io_gate_announcements.cpp
+++ b/tests/io_gate_announcements.cpp
@@ -6,6 +6,8 @@
 #include "node/gate/gate_service.h"
 #include "platform/platform.h"
 
+#include <thread>
+
 #include <gtest/gtest.h>
 
 using namespace chicoryspar;
@@ -111,3 +113,34 @@
     EXPECT_EQ(end->outcome, Outcome::NotRun);
     EXPECT_EQ(end->reason, Reason::NoUpstream);
 }
+
+// A process that was paused dispatched the calls that waited in its sockets before it read that its backend server leaves (soak seeds 322
+// and 401).
+TEST_F(GateAnnouncements, CallsAreRefusedAsNotRunAfterAPause)
+{
+    announce(makeAnnouncement("i", 100, 7));
+    announce(makeAnnouncement("i", 100, 8));
+    const auto call = [&] {
+        std::optional<CallAnswer> end;
+        CallRequest request;
+        request.service = "orders";
+        request.context.remaining = 1s;
+        gate->beginCall(request, [&](CallAnswer answer) { end = std::move(answer); });
+        io.restart();
+        io.run_for(100ms);
+        return end.value_or(CallAnswer());
+    };
+    gate->onTick(bootNow());
+    // Nothing listens at the backend server's address.
+    EXPECT_EQ(call().reason, Reason::ConnectFailed);
+    std::this_thread::sleep_for(1200ms);
+    // No tick has followed the pause yet.
+    EXPECT_EQ(call().reason, Reason::NoUpstream);
+    gate->onTick(bootNow());
+    const auto waking = call();
+    EXPECT_EQ(waking.reason, Reason::NoUpstream);
+    EXPECT_EQ(waking.outcome, Outcome::NotRun);
+    std::this_thread::sleep_for(150ms);
+    gate->onTick(bootNow());
+    EXPECT_EQ(call().reason, Reason::ConnectFailed);
+}
--- a/tests/test_overload_router.cpp
+++ b/tests/test_overload_router.cpp
@@ -7,6 +7,8 @@
 #include <functional>
 #include <map>
 
+#include <set>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -394,3 +396,43 @@
     }
     EXPECT_EQ(regionOf(router.choose(now + 2s, random, request, tried).node), 1U);
 }
+
+// Load pattern: a service of more upstreams than a router holds, in one zone; each node must not see the same 64 of them.
+TEST(Router, SubsetsSpreadOverAllUpstreamsOfALargeService)
+{
+    constexpr std::size_t kUpstreams = 200;
+    constexpr std::size_t kNodes = 196;
+    std::vector<Candidate> candidates(kUpstreams);
+    for (std::size_t n = 0; n < kUpstreams; ++n) {
+        candidates[n].node = NodeId{n + 1};
+    }
+    const auto subsetOf = [](std::uint64_t key, const std::vector<Candidate> &all) {
+        Router router(TimePoint{1h}, RouterOptions{.subsetKey = key});
+        router.setCandidates(TimePoint{1h}, all);
+        std::vector<CandidateView> views(Router::kMaxCandidates);
+        views.resize(router.explain(TimePoint{1h}, views));
+        std::set<std::uint64_t> nodes;
+        for (const auto &it : views) {
+            nodes.insert(it.node.value);
+        }
+        return nodes;
+    };
+    std::vector<std::size_t> users(kUpstreams + 1);
+    std::size_t moved = 0;
+    const std::vector<Candidate> withoutOne(candidates.begin() + 1, candidates.end());
+    for (std::uint64_t key = 1; key <= kNodes; ++key) {
+        const auto before = subsetOf(key * 7919, candidates);
+        const auto after = subsetOf(key * 7919, withoutOne);
+        for (const auto it : before) {
+            ++users[it];
+            moved += after.contains(it) ? 0 : 1;
+        }
+    }
+    const auto mean = static_cast<double>(kNodes * Router::kMaxCandidates) / kUpstreams;
+    for (std::size_t n = 1; n <= kUpstreams; ++n) {
+        EXPECT_GT(static_cast<double>(users[n]), mean / 2) << n;
+        EXPECT_LT(static_cast<double>(users[n]), mean * 2) << n;
+    }
+    // Only the upstream that left has gone from the subsets.
+    EXPECT_EQ(moved, users[1]);
+}
