--- a/src/node/control/contact_directory.cpp
+++ b/src/node/control/contact_directory.cpp
@@ -21,8 +21,8 @@
 constexpr Duration kMinListInterval = std::chrono::seconds(60);
 /// A list may be some seconds old, so a contact written less than this ago may be missing from it.
 constexpr Duration kMaxListAge = std::chrono::seconds(30);
-constexpr Duration kMaxBackoff = std::chrono::seconds(4);
 constexpr Duration kMinBackoff = std::chrono::milliseconds(300);
+constexpr Duration kMaxBackoff = std::chrono::seconds(4);
 
 ListedContact readContact(const std::string &object)
 {
@@ -174,6 +174,7 @@
     }
     for (const auto &it : m_sweep.onListed(steadyNow(), contacts, present)) {
         writeLog(LogLevel::Info, "removing the contact of a host that is gone", {{"contact", it.name}, {"address", it.address}});
+        // A removal that fails is due again after the next list.
         std::function<void(std::error_code, std::string)> handler = [](std::error_code, const std::string &) {};
         m_store.store().removeObject(ObjectKind::Contact, it.name, it.version, m_store.bindToNodeThread(std::move(handler)));
     }
--- a/src/node/http/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -379,7 +379,6 @@
 
     std::shared_ptr<Shared> m_shared;
     tcp::socket m_socket;
-    /// Holds what the parser hasn't consumed: at most one line, or the bytes of one read.
     beast::flat_buffer m_buf;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_message;
