Backend client: a detached connection has no exchange

Cause: a read that had ended before detach() would look at the options of a client that is gone. Change: detach() ends the exchange. Result: io_backend_client and io_endless_answers pass.

--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -124,10 +124,12 @@
         fail(m_isWriteStarted ? Outcome::Unknown : Outcome::NotRun, Reason::Cancelled);
     }
 
+    /// Ends the exchange without a result; handlers that are still queued find another identifier and return.
     void detach()
     {
         m_client = nullptr;
         m_done = nullptr;
+        m_exchangeId = 0;
         close();
     }
 
