--- a/tests/io_gate_announcements.cpp
+++ b/tests/io_gate_announcements.cpp
@@ -121,14 +121,17 @@
     announce(makeAnnouncement("i", 100, 7));
     announce(makeAnnouncement("i", 100, 8));
     const auto call = [&] {
-        std::optional<CallAnswer> end;
+        const auto end = std::make_shared<std::optional<CallAnswer>>();
         CallRequest request;
         request.service = "orders";
         request.context.remaining = 1s;
-        gate->beginCall(request, [&](CallAnswer answer) { end = std::move(answer); });
-        io.restart();
-        io.run_for(100ms);
-        return end.value_or(CallAnswer());
+        gate->beginCall(request, [end](CallAnswer answer) { *end = std::move(answer); });
+        const auto giveUpAt = std::chrono::steady_clock::now() + 5s;
+        while (!*end && std::chrono::steady_clock::now() < giveUpAt) {
+            io.restart();
+            io.run_for(10ms);
+        }
+        return end->value_or(CallAnswer());
     };
     gate->onTick(bootNow());
     // Nothing listens at the backend server's address.
