--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -339,6 +339,14 @@
     std::vector<Finding> findings;
 };
 
+/// The last object that was ignored although its content differs from the one in force.
+struct IgnoredObject
+{
+    std::uint64_t version = 0;
+    ChangeNote change;
+    TimePoint at;
+};
+
 /// A change that took effect, for the history.
 struct AppliedChange
 {
@@ -381,6 +389,8 @@
 
     /// Objects whose latest version was refused; the entry is removed once a version at least as high is in force.
     const std::map<ObjectKey, RefusedObject> &refusedObjects() const;
+    /// Objects of which a version that isn't newer, with other content than the one in force, was ignored.
+    const std::map<ObjectKey, IgnoredObject> &ignoredObjects() const;
     /// The last kChangeHistoryLength changes, oldest first.
     const std::deque<AppliedChange> &history() const;
     /// Number of changes that took effect since the start.
@@ -446,6 +456,7 @@
 
     std::map<ObjectKey, ObjectInForce> m_objects;
     std::map<ObjectKey, RefusedObject> m_refused;
+    std::map<ObjectKey, IgnoredObject> m_ignored;
     std::deque<AppliedChange> m_history;
     std::uint64_t m_changeCount = 0;
     std::unordered_map<std::string, ServiceEntry, NameHash, std::equal_to<>> m_services;
--- a/src/config/set.cpp
+++ b/src/config/set.cpp
@@ -30,6 +30,9 @@
     const auto it = m_objects.find(key);
     const auto knownVersion = it == m_objects.end() ? 0 : it->second.object->version;
     if (object->version <= knownVersion) {
+        if (object->contentHash != it->second.object->contentHash) {
+            m_ignored[key] = {.version = object->version, .change = object->change, .at = now};
+        }
         return ApplyResult::Stale;
     }
     if (it == m_objects.end() && m_objects.size() >= kMaxObjects && !evictOldestTombstone(object->version)) {
@@ -158,6 +161,11 @@
     return m_refused;
 }
 
+const std::map<ObjectKey, IgnoredObject> &ConfigSet::ignoredObjects() const
+{
+    return m_ignored;
+}
+
 const std::deque<AppliedChange> &ConfigSet::history() const
 {
     return m_history;
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -171,6 +171,9 @@
         publish(now);
     };
     std::function<void(std::error_code)> onEnd = [this, kind = call.kind](std::error_code ec) {
+        if (ec == StoreError::Expired) {
+            writeLog(LogLevel::Info, "watch of the store can't be continued, listing again", {{"kind", std::string(rowOf(kind).name)}});
+        }
         m_sync.onWatchEnded(steadyNow(), m_context.random, kind, toCallEnd(ec));
     };
     m_store.store().watchObjects(
@@ -210,6 +213,7 @@
 void ConfigDriver::publish(TimePoint now)
 {
     recordRefusedObjects();
+    recordIgnoredObjects();
     const auto digest = m_sync.digest();
     if (digest == m_publishedDigest) {
         return;
@@ -237,6 +241,8 @@
                                     .subject = subjectOf(it->key),
                                     .value = static_cast<std::int64_t>(it->version),
                                     .text = describeChange(it->change)});
+        writeLog(LogLevel::Info, it->deleted ? "configuration object deleted" : "configuration object in force",
+                 {{"object", subjectOf(it->key)}, {"version", std::to_string(it->version)}, {"change", it->change.changeId}});
     }
 }
 
@@ -256,6 +262,24 @@
     }
 }
 
+void ConfigDriver::recordIgnoredObjects()
+{
+    for (const auto &[key, ignored] : m_sync.set().ignoredObjects()) {
+        auto &recorded = m_recordedIgnored[key];
+        if (recorded == ignored.version) {
+            continue;
+        }
+        recorded = ignored.version;
+        const auto *entry = m_sync.set().findIncludingDeleted(key.kind, key.name);
+        writeLog(LogLevel::Warning, "configuration object ignored: not newer than the one in force",
+                 {{"object", subjectOf(key)},
+                  {"version", std::to_string(ignored.version)},
+                  {"change", ignored.change.changeId},
+                  {"versionInForce", entry ? std::to_string(entry->object->version) : std::string()},
+                  {"changeInForce", entry ? entry->object->change.changeId : std::string()}});
+    }
+}
+
 void ConfigDriver::recordStoreState()
 {
     const bool isDown = m_sync.storeDownSince().has_value();
--- a/src/node/control/config_driver.h
+++ b/src/node/control/config_driver.h
@@ -53,6 +53,7 @@
     void publish(TimePoint now);
     void recordChanges();
     void recordRefusedObjects();
+    void recordIgnoredObjects();
     void recordStoreState();
 
     NodeContext &m_context;
@@ -63,6 +64,7 @@
     std::uint64_t m_publishedDigest = 0;
     std::uint64_t m_recordedChanges = 0;
     std::map<ObjectKey, std::uint64_t> m_recordedRefusals;
+    std::map<ObjectKey, std::uint64_t> m_recordedIgnored;
     bool m_isStoreDown = false;
     bool m_isStopped = false;
 };
