--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -206,6 +206,27 @@
 
 // Objects.
 
+/// Position of a write in the order of the store's writes. A store that returns from an older copy of its data gives revisions out again,
+/// under a higher era.
+struct StoreRevision
+{
+    /// 0 if the store doesn't state an era.
+    std::uint64_t era = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const StoreRevision &) const = default;
+};
+
+/// Order of the versions of one object. What the author of an object declares comes first, because it outlives the loss of a write in the
+/// store.
+struct VersionOrder
+{
+    std::uint64_t declared = 0;
+    StoreRevision revision;
+
+    auto operator<=>(const VersionOrder &) const = default;
+};
+
 /// Who changed an object, when and why, read from its annotations.
 struct ChangeNote
 {
@@ -221,16 +242,25 @@
 {
     ObjectKind kind = ObjectKind::Count;
     std::string name;
-    /// Value of the store's monotonic counter at the last known write of the object's spec or status.
+    /// Value of the store's counter at the last known write of the object's spec or status. It increases within an era.
     std::uint64_t version = 0;
+    /// Era of the store in which the version was read; 0 if the store doesn't state one.
+    std::uint64_t storeEra = 0;
+    /// Version that the author states in the object; 0 if none. It must increase with each change.
+    std::uint64_t declaredVersion = 0;
     std::uint64_t generation = 0;
-    /// Hash of everything except status, version and managedFields. Versions with equal content aren't exchanged with peers.
+    /// Hash of everything except status, version, store era and managedFields. Versions with equal content aren't exchanged with peers.
     std::uint64_t contentHash = 0;
     bool deleted = false;
     ChangeNote change;
     ObjectSpec spec;
     /// The whole object as JSON, without its status but with unknown fields.
     std::string text;
+
+    VersionOrder order() const
+    {
+        return {declaredVersion, {storeEra, version}};
+    }
 };
 
 /// Result of parsing one object.
@@ -240,6 +270,7 @@
     ObjectKind kind = ObjectKind::Count;
     std::string name;
     std::uint64_t version = 0;
+    std::uint64_t storeEra = 0;
     /// Set if the object is valid; unknown keys don't make it invalid.
     std::shared_ptr<const ConfigObject> object;
     /// Errors because of which the object is refused.
@@ -250,11 +281,15 @@
 
 /// Parses and validates one object, and reports all of its errors together.
 /// @param json text of at most kMaxObjectBytes
-ParsedObject parseObject(std::string_view json);
+/// @param storeEra era of the answer of the store that held the object; if empty, the era in the text applies
+ParsedObject parseObject(std::string_view json, std::optional<std::uint64_t> storeEra = {});
 
 /// Returns the tombstone of an object that was deleted at @a version. Parsing its text yields an equal tombstone.
 std::shared_ptr<const ConfigObject> makeTombstone(ObjectKind kind, std::string_view name, std::uint64_t version,
                                                   const ChangeNote &change = {});
+/// Returns the tombstone of an object that was deleted at the version @a order.
+std::shared_ptr<const ConfigObject> makeTombstone(ObjectKind kind, std::string_view name, const VersionOrder &order,
+                                                  const ChangeNote &change = {});
 
 /// Formats @a wall as RFC 3339 text in UTC, with a resolution of one second.
 std::string formatTimestamp(WallTime wall);
@@ -278,7 +313,13 @@
     std::uint64_t key = 0;
     std::uint64_t version = 0;
     std::uint64_t contentHash = 0;
+    std::uint64_t storeEra = 0;
+    std::uint64_t declaredVersion = 0;
 
+    VersionOrder order() const
+    {
+        return {declaredVersion, {storeEra, version}};
+    }
     bool operator==(const ObjectVersion &) const = default;
 };
 
@@ -298,6 +339,8 @@
     std::vector<std::string> objects;
     /// Whether objects were left out because of the size limit.
     bool isPartial = false;
+    /// Highest era of the store that the answering node knows.
+    std::uint64_t storeEra = 0;
 };
 
 // Set of objects in force.
@@ -306,13 +349,13 @@
 enum class ApplyResult : std::uint8_t {
     /// The object is in force now.
     InForce,
-    /// Higher version with the same content: only the version is updated.
+    /// Newer version with the same content: only the version is updated.
     SameContent,
-    /// The version isn't higher than that in the set.
+    /// The version isn't newer than that in the set.
     Stale,
     /// The object is invalid; the last valid version stays in force.
     Refused,
-    /// The set holds kMaxObjects already, and no tombstone with a lower version can be evicted.
+    /// The set holds kMaxObjects already, and no tombstone of an earlier revision can be evicted.
     Full,
     Count,
 };
@@ -335,6 +378,7 @@
 struct RefusedObject
 {
     std::uint64_t version = 0;
+    std::uint64_t storeEra = 0;
     TimePoint at;
     std::vector<Finding> findings;
 };
@@ -342,7 +386,7 @@
 /// The last object that was ignored although its content differs from the one in force.
 struct IgnoredObject
 {
-    std::uint64_t version = 0;
+    VersionOrder order;
     ChangeNote change;
     TimePoint at;
 };
@@ -359,11 +403,12 @@
 
 constexpr std::size_t kChangeHistoryLength = 256;
 
-/// The objects in force on one node. The version of an object never decreases while it or its tombstone is in the set.
+/// The objects in force on one node. The version of an object, in the order of VersionOrder, never decreases while it or its tombstone is
+/// in the set.
 class ConfigSet
 {
 public:
-    /// Applies a valid object or a tombstone if its version is higher than that in the set.
+    /// Applies a valid object or a tombstone if its version is newer than that in the set.
     ApplyResult applyObject(TimePoint now, std::shared_ptr<const ConfigObject> object);
 
     /// Applies a parsed object. An invalid one is refused as a whole, and its findings are kept in refusedObjects().
@@ -375,7 +420,7 @@
     /// Returns the versions of all objects and tombstones.
     std::vector<ObjectVersion> versions() const;
 
-    /// Returns the objects and tombstones that are missing from @a known, or that have a higher version and other content here.
+    /// Returns the objects and tombstones that are missing from @a known, or that have a newer version and other content here.
     std::vector<std::shared_ptr<const ConfigObject>> objectsNewerThan(std::span<const ObjectVersion> known) const;
 
     /// Returns the object in force, or a null pointer if there is none or it is deleted.
@@ -449,7 +494,8 @@
 
     const ServiceEntry *findServiceEntry(std::string_view service) const;
     const CallerRule *findCallerRule(std::string_view caller) const;
-    bool evictOldestTombstone(std::uint64_t version);
+    bool evictOldestTombstone(const StoreRevision &revision);
+    void forgetRefusal(const ConfigObject &object);
     void indexCallers(std::string_view policyName, const CallerPolicySpec &policy);
     void indexRoutes(const RouteTableSpec &table);
     void rebuildIndexes();
--- a/include/chicoryspar/store.h
+++ b/include/chicoryspar/store.h
@@ -55,6 +55,8 @@
 {
     /// Version of the store from which a watch continues the list.
     std::uint64_t version = 0;
+    /// Era of the store, which rises when the store returns from an older copy and gives versions out again; 0 if the store states none.
+    std::uint64_t era = 0;
     /// Objects as JSON.
     std::vector<std::string> objects;
 };
@@ -84,6 +86,8 @@
     std::uint64_t version = 0;
     /// Object as JSON.
     std::string object;
+    /// Era of the store; see ObjectList::era.
+    std::uint64_t era = 0;
 };
 
 struct WatchRequest
@@ -158,6 +162,8 @@
     virtual StoreCallParts replaceStatusCall(ObjectKind kind, const std::string &name, const std::string &object) const = 0;
     virtual StoreCallParts removeCall(ObjectKind kind, const std::string &name, std::uint64_t version) const = 0;
 
+    /// Returns the name of the header that states the store's era in each answer, a whole number.
+    virtual std::string eraHeader() const = 0;
     /// Returns the error of an answer, or none for a success.
     virtual std::error_code errorOf(int status, const std::string &body) const = 0;
     virtual std::optional<ObjectPage> readPage(ObjectKind kind, const std::string &body) const = 0;
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -66,6 +66,7 @@
     WatchEventKind eventKind = WatchEventKind::Changed;
     std::uint64_t version = 0;
     ParsedObject object;
+    std::uint64_t storeEra = 0;
 };
 
 /// How a watch ended.
@@ -105,10 +106,14 @@
     const ConfigSyncCounters &counters() const;
     /// Returns when store calls began to fail; nothing while the store answers.
     std::optional<TimePoint> storeDownSince() const;
+    /// Returns the highest era of the store that this node knows from the store or from peers; 0 if none.
+    std::uint64_t storeEra() const;
+    /// Returns the number of objects in force that the store lost with the return from a copy: the last list doesn't contain them.
+    std::size_t lostObjectCount() const;
 
-    /// Returns whether a node with @a digest has @a version of the object in force: @a digest is that of this node, now or at any
-    /// time since the version took effect here (the last few digests are kept).
-    bool isVersionInDigest(ObjectKind kind, std::string_view name, std::uint64_t version, std::uint64_t digest) const;
+    /// Returns whether a node with @a digest has @a revision of the object, or a later one, in force: @a digest is that of this node, now
+    /// or at any time since the version took effect here (the last few digests are kept).
+    bool isVersionInDigest(ObjectKind kind, std::string_view name, const StoreRevision &revision, std::uint64_t digest) const;
 
     // Membership.
 
@@ -121,7 +126,9 @@
 
     /// Returns the store calls that are due. The driver must report the end of each by onListed(), onListFailed() or onWatchEnded().
     std::vector<StoreCall> takeStoreCalls(TimePoint now, Random &random);
-    void onListed(TimePoint now, Random &random, ObjectKind kind, std::uint64_t version, std::span<const ParsedObject> objects);
+    /// Processes a list. One from an earlier era counts as a failed call.
+    /// @param at revision of the store that the list shows
+    void onListed(TimePoint now, Random &random, ObjectKind kind, const StoreRevision &at, std::span<const ParsedObject> objects);
     void onListFailed(TimePoint now, Random &random, ObjectKind kind);
     void onWatchEvent(TimePoint now, ObjectKind kind, const WatchEvent &event);
     void onWatchEnded(TimePoint now, Random &random, ObjectKind kind, StoreCallEnd end);
@@ -148,6 +155,8 @@
         std::uint64_t resumeVersion = 0;
         /// When the next list is due; until then a watcher watches.
         TimePoint nextListAt{};
+        /// Number of objects in force that are of an earlier era and missing from the last list.
+        std::size_t lostObjects = 0;
     };
     /// A peer with a digest that this node hasn't had.
     struct PullCandidate
@@ -167,7 +176,10 @@
     bool isSynced(ObjectKind kind) const;
     bool takeStoreToken(TimePoint now);
     void applyObject(TimePoint now, const ParsedObject &object);
-    void applyDeletions(TimePoint now, ObjectKind kind, std::uint64_t version, std::span<const ParsedObject> objects);
+    void applyDeletions(TimePoint now, ObjectKind kind, const StoreRevision &at, std::span<const ParsedObject> objects);
+    void applyDeletion(TimePoint now, ObjectKind kind, const WatchEvent &event);
+    /// Makes a higher era the current one. Revisions of earlier eras no longer tell what the store holds, so everything is listed again.
+    void adoptStoreEra(TimePoint now, std::uint64_t era);
     void recordFormerDigest(TimePoint now, std::uint64_t previous);
     void recordStoreSuccess();
     void recordStoreFailure(TimePoint now, Random &random);
@@ -182,6 +194,7 @@
     std::array<KindState, static_cast<std::size_t>(ObjectKind::Count)> m_kinds;
     ConfigSyncCounters m_counters;
     std::size_t m_memberCount = 1;
+    std::uint64_t m_storeEra = 0;
     bool m_isWatcher = false;
     bool m_isConfigured = false;
     TimePoint m_nextStoreCallAt{};
--- a/src/config/config_sync_peers.cpp
+++ b/src/config/config_sync_peers.cpp
@@ -33,7 +33,12 @@
 
 std::uint64_t ConfigSync::digest() const
 {
-    return m_isConfigured ? std::max(m_set.digest(), kEmptyDigest) : 0;
+    if (!m_isConfigured) {
+        return 0;
+    }
+    // With the era, content that returns with the store's copy isn't taken for content that it replaced.
+    const auto content = m_storeEra == 0 ? m_set.digest() : hashBytes(std::to_string(m_set.digest()), m_storeEra);
+    return std::max(content, kEmptyDigest);
 }
 
 const ConfigSyncCounters &ConfigSync::counters() const
@@ -60,10 +65,10 @@
     m_uselessDigests.clear();
 }
 
-bool ConfigSync::isVersionInDigest(ObjectKind kind, std::string_view name, std::uint64_t version, std::uint64_t digest) const
+bool ConfigSync::isVersionInDigest(ObjectKind kind, std::string_view name, const StoreRevision &revision, std::uint64_t digest) const
 {
     const auto *entry = m_set.findIncludingDeleted(kind, name);
-    if (!entry || entry->object->version < version || !m_isConfigured) {
+    if (!entry || entry->object->order().revision < revision || !m_isConfigured) {
         return false;
     }
     if (digest == this->digest()) {
@@ -136,7 +141,7 @@
 
 ConfigPullAnswer ConfigSync::answerPull(const ConfigPull &pull) const
 {
-    ConfigPullAnswer answer{.digest = digest()};
+    ConfigPullAnswer answer{.digest = digest(), .storeEra = m_storeEra};
     if (answer.digest == 0) {
         return answer;
     }
@@ -161,6 +166,7 @@
         return;
     }
     const auto previousDigest = digest();
+    adoptStoreEra(now, answer.storeEra);
     for (const auto &it : answer.objects) {
         applyObject(now, parseObject(it));
     }
--- a/src/config/config_sync_store.cpp
+++ b/src/config/config_sync_store.cpp
@@ -134,18 +134,36 @@
     m_nextStoreCallAt = std::max(m_nextStoreCallAt, now + drawDuration(random, m_backoff / 2, m_backoff));
 }
 
-void ConfigSync::onListed(TimePoint now, Random &random, ObjectKind kind, std::uint64_t version, std::span<const ParsedObject> objects)
+void ConfigSync::adoptStoreEra(TimePoint now, std::uint64_t era)
 {
+    if (era <= m_storeEra) {
+        return;
+    }
+    m_storeEra = era;
+    for (auto &it : m_kinds) {
+        it.resumeVersion = 0;
+        it.nextListAt = m_isWatcher ? now : it.nextListAt;
+    }
+}
+
+void ConfigSync::onListed(TimePoint now, Random &random, ObjectKind kind, const StoreRevision &at, std::span<const ParsedObject> objects)
+{
+    if (at.era < m_storeEra) {
+        kindState(kind).hasOpenCall = false;
+        recordStoreFailure(now, random);
+        return;
+    }
     recordStoreSuccess();
     const auto previousDigest = digest();
+    adoptStoreEra(now, at.era);
     for (const auto &it : objects) {
         applyObject(now, it);
     }
-    applyDeletions(now, kind, version, objects);
+    applyDeletions(now, kind, at, objects);
     auto &state = kindState(kind);
     state.hasOpenCall = false;
     state.isListed = true;
-    state.resumeVersion = std::max(state.resumeVersion, version);
+    state.resumeVersion = std::max(state.resumeVersion, at.number);
     state.nextListAt = now + drawAuditPeriod(random);
     m_isConfigured = m_isConfigured || std::all_of(m_kinds.begin(), m_kinds.end(), [this](const KindState &it) {
                          return it.isListed || !isSynced(static_cast<ObjectKind>(&it - m_kinds.data()));
@@ -153,18 +171,53 @@
     recordFormerDigest(now, previousDigest);
 }
 
-/// Adds a tombstone for each object in force that is older than the list but missing from it.
-void ConfigSync::applyDeletions(TimePoint now, ObjectKind kind, std::uint64_t version, std::span<const ParsedObject> objects)
+std::uint64_t ConfigSync::storeEra() const
+{
+    return m_storeEra;
+}
+
+std::size_t ConfigSync::lostObjectCount() const
+{
+    std::size_t count = 0;
+    for (const auto &it : m_kinds) {
+        count += it.lostObjects;
+    }
+    return count;
+}
+
+/// Adds a tombstone for each object in force that is older than the list but missing from it. An object of an earlier era wasn't deleted:
+/// the store lost it, and it stays in force until it is written again or deleted.
+void ConfigSync::applyDeletions(TimePoint now, ObjectKind kind, const StoreRevision &at, std::span<const ParsedObject> objects)
 {
     std::set<std::string_view> listed;
     for (const auto &it : objects) {
         listed.insert(it.name);
     }
+    auto &lostObjects = kindState(kind).lostObjects;
+    lostObjects = 0;
     for (const auto &it : m_set.objectsInForce()) {
-        if (it.object->kind == kind && it.object->version < version && !listed.contains(it.object->name)) {
-            m_set.applyObject(now, makeTombstone(kind, it.object->name, version));
+        const auto order = it.object->order();
+        if (it.object->kind != kind || order.revision >= at || listed.contains(it.object->name)) {
+            continue;
         }
+        if (order.revision.era < at.era) {
+            ++lostObjects;
+            continue;
+        }
+        m_set.applyObject(now, makeTombstone(kind, it.object->name, VersionOrder{order.declared, at}));
+    }
+}
+
+void ConfigSync::applyDeletion(TimePoint now, ObjectKind kind, const WatchEvent &event)
+{
+    if (event.version == 0 || event.object.name.empty()) {
+        return;
     }
+    const auto *known = m_set.findIncludingDeleted(kind, event.object.name);
+    const auto declared =
+        std::max(known ? known->object->declaredVersion : 0, event.object.object ? event.object.object->declaredVersion : 0);
+    const auto change = event.object.object ? event.object.object->change : ChangeNote();
+    m_set.applyObject(now, makeTombstone(kind, event.object.name, VersionOrder{declared, {event.storeEra, event.version}}, change));
 }
 
 void ConfigSync::onListFailed(TimePoint now, Random &random, ObjectKind kind)
@@ -181,18 +234,19 @@
 
 void ConfigSync::onWatchEvent(TimePoint now, ObjectKind kind, const WatchEvent &event)
 {
+    if (event.storeEra < m_storeEra) {
+        return;
+    }
     recordStoreSuccess();
     auto &state = kindState(kind);
     const auto previousDigest = digest();
+    adoptStoreEra(now, event.storeEra);
     switch (event.eventKind) {
     case WatchEventKind::Changed:
         applyObject(now, event.object);
         break;
     case WatchEventKind::Deleted:
-        if (event.version > 0 && !event.object.name.empty()) {
-            const auto change = event.object.object ? event.object.object->change : ChangeNote();
-            m_set.applyObject(now, makeTombstone(kind, event.object.name, event.version, change));
-        }
+        applyDeletion(now, kind, event);
         break;
     default:
         state.resumeVersion = std::max(state.resumeVersion, event.version);
@@ -215,6 +269,8 @@
         state.nextListAt = now;
         break;
     default:
+        // The store may have returned from a copy meanwhile; a watch from a revision that was given out again would miss changes.
+        state.nextListAt = now;
         recordStoreFailure(now, random);
         break;
     }
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -13,6 +13,8 @@
 constexpr int kMaxNestingDepth = 32;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::string_view kTombstoneKey = "tombstone";
+constexpr std::string_view kStoreEraKey = "storeEra";
+constexpr std::string_view kDeclaredVersionKey = "declaredVersion";
 constexpr std::array<std::string_view, 6> kTopLevelKeys{"apiVersion", "kind", "metadata", "spec", "status", kTombstoneKey};
 
 /// Returns whether the nesting exceeds kMaxNestingDepth; the JSON library recurses per level and could exhaust the stack.
@@ -59,6 +61,12 @@
     return it != json.end() && it->is_object() ? *it : Json::object();
 }
 
+std::uint64_t numberMember(const Json &json, std::string_view key)
+{
+    const auto it = json.find(std::string(key));
+    return it != json.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
+}
+
 void readVersion(const Json &metadata, ParsedObject &parsed, ObjectFindings &findings)
 {
     const auto it = metadata.find("resourceVersion");
@@ -107,19 +115,14 @@
     }
 }
 
-std::uint64_t readGeneration(const Json &metadata)
-{
-    const auto it = metadata.find("generation");
-    return it != metadata.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
-}
-
-/// Returns the hash of what affects the behaviour of nodes: everything but the status (already removed), the version and the
-/// platform's managedFields. @a json is as before on return.
+/// Returns the hash of what affects the behaviour of nodes: everything but the status (already removed), the version, the
+/// store's era and the platform's managedFields. @a json is as before on return.
 std::uint64_t hashContent(Json &json)
 {
     const auto metadata = json["metadata"];
     json["metadata"].erase("resourceVersion");
     json["metadata"].erase("managedFields");
+    json["metadata"].erase(std::string(kStoreEraKey));
     const auto hash = hashBytes(json.dump(-1, ' ', false, Json::error_handler_t::replace));
     json["metadata"] = metadata;
     return hash;
@@ -128,12 +131,18 @@
 std::shared_ptr<const ConfigObject> makeObject(Json json, const ParsedObject &parsed, ObjectSpec spec)
 {
     json.erase("status");
+    json["metadata"].erase(std::string(kStoreEraKey));
+    if (parsed.storeEra > 0) {
+        json["metadata"][std::string(kStoreEraKey)] = parsed.storeEra;
+    }
     const auto metadata = objectMember(json, "metadata");
     return std::make_shared<const ConfigObject>(ConfigObject{
         .kind = parsed.kind,
         .name = parsed.name,
         .version = parsed.version,
-        .generation = readGeneration(metadata),
+        .storeEra = parsed.storeEra,
+        .declaredVersion = numberMember(metadata, kDeclaredVersionKey),
+        .generation = numberMember(metadata, "generation"),
         .contentHash = hashContent(json),
         .change = readChangeNote(metadata),
         .spec = std::move(spec),
@@ -157,7 +166,7 @@
 
 } // namespace
 
-ParsedObject parseObject(std::string_view json)
+ParsedObject parseObject(std::string_view json, std::optional<std::uint64_t> storeEra)
 {
     ParsedObject parsed;
     if (json.size() > kMaxObjectBytes || exceedsMaxNestingDepth(json)) {
@@ -171,9 +180,12 @@
     }
     ObjectFindings findings;
     readEnvelope(value, parsed, findings);
+    const auto metadata = objectMember(value, "metadata");
+    parsed.storeEra = storeEra.value_or(numberMember(metadata, kStoreEraKey));
     const bool isTombstone = value.value(std::string(kTombstoneKey), Json()) == true;
     if (isTombstone && findings.faults.empty() && parsed.version > 0) {
-        parsed.object = makeTombstone(parsed.kind, parsed.name, parsed.version, readChangeNote(objectMember(value, "metadata")));
+        const VersionOrder order{numberMember(metadata, kDeclaredVersionKey), {parsed.storeEra, parsed.version}};
+        parsed.object = makeTombstone(parsed.kind, parsed.name, order, readChangeNote(metadata));
         return parsed;
     }
     ObjectSpec spec;
@@ -192,20 +204,36 @@
 
 std::shared_ptr<const ConfigObject> makeTombstone(ObjectKind kind, std::string_view name, std::uint64_t version, const ChangeNote &change)
 {
+    return makeTombstone(kind, name, VersionOrder{0, {0, version}}, change);
+}
+
+std::shared_ptr<const ConfigObject> makeTombstone(ObjectKind kind, std::string_view name, const VersionOrder &order,
+                                                  const ChangeNote &change)
+{
+    const auto version = order.revision.number;
     assert(kind != ObjectKind::Count && version > 0);
-    const auto path = std::string(rowOf(kind).name) + "/" + std::string(name);
+    const auto path = std::string(rowOf(kind).name) + "/" + std::string(name) + " " + std::to_string(order.declared) + " "
+        + std::to_string(order.revision.era);
     const Json annotations{{kChangeIdAnnotation, change.changeId},
                            {kChangedByAnnotation, change.changedBy},
                            {kReasonAnnotation, change.reason},
                            {kChangedAtAnnotation, change.changedAt}};
-    const Json json{{"apiVersion", kApiVersion},
-                    {"kind", rowOf(kind).name},
-                    {"metadata", {{"name", name}, {"resourceVersion", std::to_string(version)}, {"annotations", annotations}}},
-                    {kTombstoneKey, true}};
+    Json json{{"apiVersion", kApiVersion},
+              {"kind", rowOf(kind).name},
+              {"metadata", {{"name", name}, {"resourceVersion", std::to_string(version)}, {"annotations", annotations}}},
+              {kTombstoneKey, true}};
+    if (order.declared > 0) {
+        json["metadata"][std::string(kDeclaredVersionKey)] = order.declared;
+    }
+    if (order.revision.era > 0) {
+        json["metadata"][std::string(kStoreEraKey)] = order.revision.era;
+    }
     return std::make_shared<const ConfigObject>(ConfigObject{
         .kind = kind,
         .name = std::string(name),
         .version = version,
+        .storeEra = order.revision.era,
+        .declaredVersion = order.declared,
         .contentHash = hashBytes(path, version),
         .deleted = true,
         .change = change,
--- a/src/config/set.cpp
+++ b/src/config/set.cpp
@@ -28,16 +28,17 @@
     assert(object && object->kind != ObjectKind::Count);
     const ObjectKey key{object->kind, object->name};
     const auto it = m_objects.find(key);
-    const auto knownVersion = it == m_objects.end() ? 0 : it->second.object->version;
-    if (object->version <= knownVersion) {
-        if (object->contentHash != it->second.object->contentHash) {
-            m_ignored[key] = {.version = object->version, .change = object->change, .at = now};
+    const auto knownOrder = it == m_objects.end() ? VersionOrder() : it->second.object->order();
+    if (object->order() <= knownOrder) {
+        if (it != m_objects.end() && object->contentHash != it->second.object->contentHash) {
+            m_ignored[key] = {.order = object->order(), .change = object->change, .at = now};
         }
         return ApplyResult::Stale;
     }
-    if (it == m_objects.end() && m_objects.size() >= kMaxObjects && !evictOldestTombstone(object->version)) {
+    if (it == m_objects.end() && m_objects.size() >= kMaxObjects && !evictOldestTombstone(object->order().revision)) {
         return ApplyResult::Full;
     }
+    forgetRefusal(*object);
     if (it != m_objects.end() && it->second.object->contentHash == object->contentHash) {
         it->second.object = std::move(object);
         rebuildIndexes();
@@ -52,27 +53,32 @@
     if (m_history.size() > kChangeHistoryLength) {
         m_history.pop_front();
     }
-    const auto refused = m_refused.find(key);
-    if (refused != m_refused.end() && refused->second.version <= object->version) {
-        m_refused.erase(refused);
-    }
     m_objects[key] = ObjectInForce{std::move(object), now};
     rebuildIndexes();
     return ApplyResult::InForce;
 }
 
-/// Evicts the tombstone with the lowest version, provided that it is below @a version.
+/// Removes the refusal of an earlier version of @a object.
+void ConfigSet::forgetRefusal(const ConfigObject &object)
+{
+    const auto refused = m_refused.find(ObjectKey{object.kind, object.name});
+    if (refused != m_refused.end() && StoreRevision{refused->second.storeEra, refused->second.version} <= object.order().revision) {
+        m_refused.erase(refused);
+    }
+}
+
+/// Evicts the tombstone with the lowest revision, provided that it is below @a revision.
 /// @returns whether one was evicted
-bool ConfigSet::evictOldestTombstone(std::uint64_t version)
+bool ConfigSet::evictOldestTombstone(const StoreRevision &revision)
 {
     auto oldest = m_objects.end();
     for (auto it = m_objects.begin(); it != m_objects.end(); ++it) {
         const auto &object = *it->second.object;
-        if (object.deleted && (oldest == m_objects.end() || object.version < oldest->second.object->version)) {
+        if (object.deleted && (oldest == m_objects.end() || object.order().revision < oldest->second.object->order().revision)) {
             oldest = it;
         }
     }
-    if (oldest == m_objects.end() || oldest->second.object->version >= version) {
+    if (oldest == m_objects.end() || oldest->second.object->order().revision >= revision) {
         return false;
     }
     m_digest -= digestContribution(*oldest->second.object);
@@ -90,12 +96,13 @@
     }
     const ObjectKey key{parsed.kind, parsed.name};
     const auto it = m_objects.find(key);
-    if (it != m_objects.end() && parsed.version <= it->second.object->version) {
+    const StoreRevision revision{parsed.storeEra, parsed.version};
+    if (it != m_objects.end() && revision <= it->second.object->order().revision) {
         return ApplyResult::Stale;
     }
     auto &refused = m_refused[key];
-    if (parsed.version > refused.version) {
-        refused = {parsed.version, now, parsed.findings};
+    if (revision > StoreRevision{refused.storeEra, refused.version}) {
+        refused = {.version = parsed.version, .storeEra = parsed.storeEra, .at = now, .findings = parsed.findings};
     }
     return ApplyResult::Refused;
 }
@@ -110,7 +117,12 @@
     std::vector<ObjectVersion> list;
     list.reserve(m_objects.size());
     for (const auto &[key, entry] : m_objects) {
-        list.push_back({hashKey(key.kind, key.name), entry.object->version, entry.object->contentHash});
+        const auto &object = *entry.object;
+        list.push_back({.key = hashKey(key.kind, key.name),
+                        .version = object.version,
+                        .contentHash = object.contentHash,
+                        .storeEra = object.storeEra,
+                        .declaredVersion = object.declaredVersion});
     }
     return list;
 }
@@ -125,7 +137,7 @@
     for (const auto &[key, entry] : m_objects) {
         const auto it = byKey.find(hashKey(key.kind, key.name));
         const bool isNewer =
-            it == byKey.end() || (it->second.version < entry.object->version && it->second.contentHash != entry.object->contentHash);
+            it == byKey.end() || (it->second.order() < entry.object->order() && it->second.contentHash != entry.object->contentHash);
         if (isNewer) {
             newer.push_back(entry.object);
         }
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -15,15 +15,15 @@
 /// Objects of a list call, parsed outside the node's thread.
 struct ParsedList
 {
-    std::uint64_t version = 0;
+    StoreRevision at;
     std::vector<ParsedObject> objects;
 };
 
 ParsedList parseObjects(const ObjectList &list)
 {
-    ParsedList parsed{.version = list.version};
+    ParsedList parsed{.at = {list.era, list.version}};
     for (const auto &it : list.objects) {
-        parsed.objects.push_back(parseObject(it));
+        parsed.objects.push_back(parseObject(it, list.era));
     }
     return parsed;
 }
@@ -31,10 +31,13 @@
 WatchEvent parseWatchEvent(const StoreEvent &event)
 {
     if (event.kind == StoreEventKind::Bookmark) {
-        return {.eventKind = WatchEventKind::Bookmark, .version = event.version};
+        return {.eventKind = WatchEventKind::Bookmark, .version = event.version, .storeEra = event.era};
     }
     const bool isDeletion = event.kind == StoreEventKind::Deleted;
-    return {isDeletion ? WatchEventKind::Deleted : WatchEventKind::Changed, event.version, parseObject(event.object)};
+    return {.eventKind = isDeletion ? WatchEventKind::Deleted : WatchEventKind::Changed,
+            .version = event.version,
+            .object = parseObject(event.object, event.era),
+            .storeEra = event.era};
 }
 
 StoreCallEnd toCallEnd(std::error_code ec)
@@ -154,7 +157,7 @@
             m_sync.onListFailed(now, m_context.random, kind);
             return;
         }
-        m_sync.onListed(now, m_context.random, kind, list.version, list.objects);
+        m_sync.onListed(now, m_context.random, kind, list.at, list.objects);
         publish(now);
     };
     m_store.store().listObjects(call.kind,
@@ -266,14 +269,15 @@
 {
     for (const auto &[key, ignored] : m_sync.set().ignoredObjects()) {
         auto &recorded = m_recordedIgnored[key];
-        if (recorded == ignored.version) {
+        if (recorded == ignored.order) {
             continue;
         }
-        recorded = ignored.version;
+        recorded = ignored.order;
         const auto *entry = m_sync.set().findIncludingDeleted(key.kind, key.name);
         writeLog(LogLevel::Warning, "configuration object ignored: not newer than the one in force",
                  {{"object", subjectOf(key)},
-                  {"version", std::to_string(ignored.version)},
+                  {"version", std::to_string(ignored.order.revision.number)},
+                  {"storeEra", std::to_string(ignored.order.revision.era)},
                   {"change", ignored.change.changeId},
                   {"versionInForce", entry ? std::to_string(entry->object->version) : std::string()},
                   {"changeInForce", entry ? entry->object->change.changeId : std::string()}});
@@ -282,6 +286,14 @@
 
 void ConfigDriver::recordStoreState()
 {
+    if (m_sync.storeEra() != m_recordedStoreEra) {
+        // The first era that a node learns is no event.
+        if (m_recordedStoreEra != 0) {
+            writeLog(LogLevel::Warning, "the configuration store returned from an older copy; what it lost stays in force",
+                     {{"era", std::to_string(m_sync.storeEra())}, {"eraBefore", std::to_string(m_recordedStoreEra)}});
+        }
+        m_recordedStoreEra = m_sync.storeEra();
+    }
     const bool isDown = m_sync.storeDownSince().has_value();
     if (isDown == m_isStoreDown) {
         return;
@@ -295,11 +307,13 @@
 
 InForceCount ConfigDriver::countInForce(const ObjectKey &key, std::uint64_t version, std::uint64_t contentHash)
 {
-    const auto *entry = m_sync.set().find(key.kind, key.name);
-    if (entry && contentHash != 0 && entry->object->contentHash == contentHash) {
+    const auto *entry = m_sync.set().findIncludingDeleted(key.kind, key.name);
+    // Without a hash, the version is taken for one of the era in which the object was read.
+    StoreRevision revision{contentHash == 0 && entry ? entry->object->storeEra : m_sync.storeEra(), version};
+    if (entry && !entry->object->deleted && contentHash != 0 && entry->object->contentHash == contentHash) {
         // A write of the status alone gives an object a new version. Nodes that have the same content under an earlier version
         // count as well.
-        version = entry->object->version;
+        revision = entry->object->order().revision;
     }
     InForceCount count;
     for (const auto *it : m_membership.membership().members()) {
@@ -308,7 +322,7 @@
         }
         ++count.members;
         const bool isSelf = it->info.id == m_context.self;
-        if (m_sync.isVersionInDigest(key.kind, key.name, version, isSelf ? m_sync.digest() : it->configDigest)) {
+        if (m_sync.isVersionInDigest(key.kind, key.name, revision, isSelf ? m_sync.digest() : it->configDigest)) {
             ++count.inForce;
             continue;
         }
--- a/src/node/control/config_driver.h
+++ b/src/node/control/config_driver.h
@@ -64,7 +64,8 @@
     std::uint64_t m_publishedDigest = 0;
     std::uint64_t m_recordedChanges = 0;
     std::map<ObjectKey, std::uint64_t> m_recordedRefusals;
-    std::map<ObjectKey, std::uint64_t> m_recordedIgnored;
+    std::map<ObjectKey, VersionOrder> m_recordedIgnored;
+    std::uint64_t m_recordedStoreEra = 0;
     bool m_isStoreDown = false;
     bool m_isStopped = false;
 };
--- a/src/node/control/operator_views_json.cpp
+++ b/src/node/control/operator_views_json.cpp
@@ -96,6 +96,8 @@
             {"objects", sync.set().objectsInForce().size()},
             {"watcher", sync.isWatcher()},
             {"storeDownForMs", down ? Json(toMilliseconds(now - *down)) : Json()},
+            {"storeEra", sync.storeEra()},
+            {"lostByStore", sync.lostObjectCount()},
             {"refused", describeRefused(sync.set(), now)},
             {"findings", describeFindings(sync.set().checkReferences())},
             {"storeCalls", {{"list", counters.listCalls}, {"watch", counters.watchCalls}, {"failed", counters.failedCalls}}},
--- a/src/store/client_cpprest.cpp
+++ b/src/store/client_cpprest.cpp
@@ -83,6 +83,25 @@
     }
 }
 
+/// Returns the store's era that an answer states; 0 if it states none.
+std::uint64_t eraOf(const StoreDialect &dialect, const http_response &response)
+{
+    std::uint64_t era = 0;
+    response.headers().match(dialect.eraHeader(), era);
+    return era;
+}
+
+/// Answer to a call that isn't a watch.
+struct StoreAnswer
+{
+    std::error_code ec;
+    /// Empty on errors.
+    std::string body;
+    std::uint64_t era = 0;
+};
+
+using AnswerHandler = std::function<void(StoreAnswer answer)>;
+
 /// Runs one watch: passes on the events of the answer until it ends.
 class WatchReader : public std::enable_shared_from_this<WatchReader>
 {
@@ -116,6 +135,7 @@
             end(m_dialect->errorOf(response.status_code(), {}));
             return;
         }
+        m_era = eraOf(*m_dialect, response);
         if (m_dialect->streamsEvents()) {
             m_body = response.body();
             readNextLine();
@@ -134,12 +154,13 @@
     /// @returns false when @a text isn't valid or contains an error event
     bool handleEvents(const std::string &text)
     {
-        const auto events = m_dialect->readEvents(m_kind, text);
-        for (const auto &it : events.value_or(std::vector<StoreEvent>())) {
+        auto events = m_dialect->readEvents(m_kind, text);
+        for (auto &it : events.value_or(std::vector<StoreEvent>())) {
             if (it.kind == StoreEventKind::Error) {
                 m_readError = StoreError::Expired;
                 return false;
             }
+            it.era = m_era;
             m_onEvent(it);
         }
         return events.has_value();
@@ -180,6 +201,7 @@
     ObjectStore::EventHandler m_onEvent;
     ObjectStore::EndHandler m_onEnd;
     StoreError m_readError = StoreError::Malformed;
+    std::uint64_t m_era = 0;
     std::shared_ptr<http_client> m_client;
     concurrency::streams::istream m_body;
 };
@@ -227,7 +249,8 @@
 
     void removeObject(ObjectKind kind, const std::string &name, std::uint64_t version, ObjectHandler handler) override
     {
-        sendCall(methods::DEL, dialect().removeCall(kind, name, version), std::move(handler));
+        sendCall(methods::DEL, dialect().removeCall(kind, name, version),
+                 [handler = std::move(handler)](StoreAnswer answer) { handler(answer.ec, std::move(answer.body)); });
     }
 
     void watchObjects(const WatchRequest &request, EventHandler onEvent, EndHandler onEnd) override
@@ -250,18 +273,24 @@
     }
 
     /// Lists page by page. The list takes the version of the first page, so that a watch from there misses no change made during the
-    /// listing.
+    /// listing. Pages of different eras don't make a list.
     void listPagesFrom(ObjectKind kind, const std::string &after, ObjectList list, ListHandler handler)
     {
         sendCall(methods::GET, {.path = dialect().listPath(kind, after)},
                  [this, kind, list = std::move(list), handler = std::move(handler),
-                  token = m_cancelSource.get_token()](std::error_code ec, const std::string &body) mutable {
-                     auto page = ec ? std::nullopt : dialect().readPage(kind, body);
+                  token = m_cancelSource.get_token()](const StoreAnswer &answer) mutable {
+                     auto page = answer.ec ? std::nullopt : dialect().readPage(kind, answer.body);
                      if (!page) {
-                         handler(ec ? ec : make_error_code(StoreError::Malformed), {});
+                         handler(answer.ec ? answer.ec : make_error_code(StoreError::Malformed), {});
+                         return;
+                     }
+                     const bool isFirst = list.version == 0;
+                     if (!isFirst && answer.era != list.era) {
+                         handler(StoreError::Expired, {});
                          return;
                      }
-                     list.version = list.version == 0 ? page->list.version : list.version;
+                     list.version = isFirst ? page->list.version : list.version;
+                     list.era = answer.era;
                      std::move(page->list.objects.begin(), page->list.objects.end(), std::back_inserter(list.objects));
                      if (page->next.empty() || token.is_canceled()) {
                          handler({}, std::move(list));
@@ -272,18 +301,18 @@
     }
 
     /// Returns a handler that translates the stored object to the product's form before it calls @a handler.
-    ObjectHandler makeDecodingHandler(ObjectKind kind, ObjectHandler handler) const
+    AnswerHandler makeDecodingHandler(ObjectKind kind, ObjectHandler handler) const
     {
-        return [dialect = m_options.dialect, kind, handler = std::move(handler)](std::error_code ec, const std::string &body) {
-            auto object = ec ? std::nullopt : dialect->readObject(kind, body);
-            handler(!ec && !object ? make_error_code(StoreError::Malformed) : ec, std::move(object).value_or(std::string()));
+        return [dialect = m_options.dialect, kind, handler = std::move(handler)](const StoreAnswer &answer) {
+            auto object = answer.ec ? std::nullopt : dialect->readObject(kind, answer.body);
+            handler(!answer.ec && !object ? make_error_code(StoreError::Malformed) : answer.ec, std::move(object).value_or(std::string()));
         };
     }
 
-    void sendCall(const method &verb, const StoreCallParts &call, ObjectHandler handler)
+    void sendCall(const method &verb, const StoreCallParts &call, AnswerHandler handler)
     {
         if (!m_bucket.takeToken()) {
-            handler(StoreError::Throttled, {});
+            handler({.ec = StoreError::Throttled});
             return;
         }
         http_request message(verb);
@@ -295,22 +324,21 @@
         const auto client = verb == methods::GET ? m_client : std::make_shared<http_client>(m_uri, makeConfig(m_options.callTimeout));
         // The client must outlive its calls.
         client->request(message, m_cancelSource.get_token())
-            .then([](const http_response &response) {
-                return response.extract_string(true).then(
-                    [status = response.status_code()](std::string text) { return std::make_pair(status, std::move(text)); });
+            .then([dialect = m_options.dialect](const http_response &response) {
+                const auto status = response.status_code();
+                return response.extract_string(true).then([dialect, status, era = eraOf(*dialect, response)](std::string text) {
+                    const auto ec = dialect->errorOf(status, text);
+                    return StoreAnswer{.ec = ec, .body = ec ? std::string() : std::move(text), .era = era};
+                });
             })
-            .then([handler = std::move(handler), client,
-                   dialect = m_options.dialect](const pplx::task<std::pair<web::http::status_code, std::string>> &task) {
-                std::error_code ec;
-                std::string text;
+            .then([handler = std::move(handler), client](const pplx::task<StoreAnswer> &task) {
+                StoreAnswer answer;
                 try {
-                    auto [status, answer] = task.get();
-                    ec = dialect->errorOf(status, answer);
-                    text = ec ? std::string() : std::move(answer);
+                    answer = task.get();
                 } catch (...) {
-                    ec = errorOf(std::current_exception());
+                    answer = {.ec = errorOf(std::current_exception())};
                 }
-                handler(ec, std::move(text));
+                handler(std::move(answer));
             });
     }
 
--- a/src/store/dialect_native.cpp
+++ b/src/store/dialect_native.cpp
@@ -104,6 +104,11 @@
         return {objectPath(kind, name), options.dump()};
     }
 
+    std::string eraHeader() const override
+    {
+        return "Chicoryspar-Store-Era";
+    }
+
     std::error_code errorOf(int status, const std::string &body) const override;
     std::optional<ObjectPage> readPage(ObjectKind kind, const std::string &body) const override;
 
--- a/src/wire/messages_config.cpp
+++ b/src/wire/messages_config.cpp
@@ -10,7 +10,7 @@
 template<typename Visitor>
 void visitFields(Visitor &visitor, ObjectVersion &value)
 {
-    visitor(value.key, value.version, value.contentHash);
+    visitor(value.key, value.version, value.contentHash, value.storeEra, value.declaredVersion);
 }
 
 template<typename Visitor>
@@ -22,7 +22,7 @@
 template<typename Visitor>
 void visitFields(Visitor &visitor, ConfigPullAnswer &value)
 {
-    visitor(value.digest, value.objects, value.isPartial);
+    visitor(value.digest, value.objects, value.isPartial, value.storeEra);
 }
 
 CHICORYSPAR_FRAME_MESSAGE(ConfigPull)
