--- a/standins/platform/object_table.cpp
+++ b/standins/platform/object_table.cpp
@@ -210,4 +210,17 @@
     m_compactedVersion = m_version;
 }
 
+void ObjectTable::restore(std::uint64_t versionsBack)
+{
+    m_version = std::max(m_version - std::min(m_version, versionsBack), m_compactedVersion);
+    m_objects = stateAt(m_version);
+    std::erase_if(m_log, [this](const LoggedEvent &it) { return it.version > m_version; });
+    ++m_era;
+}
+
+std::uint64_t ObjectTable::era() const
+{
+    return m_era;
+}
+
 } // namespace chicoryspar::standin
--- a/standins/platform/object_table.h
+++ b/standins/platform/object_table.h
@@ -61,6 +61,12 @@
     /// Clears the event log, so that watches can't start before the current version.
     void compact();
 
+    /// Returns to the state of @a versionsBack versions ago, or to the oldest one that the event log still has. The versions since are
+    /// given out again.
+    void restore(std::uint64_t versionsBack);
+    /// Returns the number of restores plus 1.
+    std::uint64_t era() const;
+
 private:
     Json *findObject(ObjectKind kind, const std::string &name);
     ApiAnswer commitUpdate(ObjectKind kind, const std::string &name, Json object);
@@ -74,6 +80,7 @@
     std::uint64_t m_version = 0;
     std::uint64_t m_compactedVersion = 0;
     std::uint64_t m_nextUid = 0;
+    std::uint64_t m_era = 1;
 };
 
 } // namespace chicoryspar::standin
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -9,6 +9,8 @@
 #include "standins/platform/watch_stream.h"
 #include "store/listener_cpprest.h"
 
+#include <chicoryspar/store.h>
+
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
@@ -105,11 +107,6 @@
     return it == query.end() || it->second.empty() ? fallback : std::strtoull(it->second.c_str(), nullptr, 10);
 }
 
-void sendAnswer(const http_request &request, const ApiAnswer &answer)
-{
-    request.reply(static_cast<web::http::status_code>(answer.status), answer.body.dump(), "application/json");
-}
-
 WallTime wallNow()
 {
     return WallTime(std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()));
@@ -145,6 +142,7 @@
     }
     void setFaults(const PlatformFaults &faults);
     void compact();
+    void restoreTable(std::uint64_t versionsBack);
     std::uint64_t calls(CallKind kind) const;
     ApiAnswer read(ObjectKind kind, const std::string &name) const;
 
@@ -156,6 +154,7 @@
         ApiCall call;
     };
 
+    void sendAnswer(const http_request &request, const ApiAnswer &answer) const;
     void handleRequest(const http_request &request);
     void handleAdmin(const http_request &request, const std::vector<std::string> &path, const Json &body);
     void handleCall(const http_request &request, const ApiCall &call);
@@ -166,8 +165,10 @@
     void runTicks();
     void runDelayedCalls(SteadyTime now);
     void tickWatches(SteadyTime now);
+    void restore(std::uint64_t versionsBack);
 
     PlatformServerOptions m_options;
+    std::shared_ptr<const StoreDialect> m_dialect = nativeStoreDialect();
     std::unique_ptr<http_listener> m_listener;
     std::thread m_ticker;
     std::condition_variable m_wakeTicker;
@@ -219,6 +220,14 @@
     }
 }
 
+void PlatformServerImpl::sendAnswer(const http_request &request, const ApiAnswer &answer) const
+{
+    http_response response(static_cast<web::http::status_code>(answer.status));
+    response.headers().add(m_dialect->eraHeader(), m_table.era());
+    response.set_body(answer.body.dump(), "application/json");
+    request.reply(response);
+}
+
 void PlatformServerImpl::handleRequest(const http_request &request)
 {
     auto received = request;
@@ -236,6 +245,7 @@
             call.body = std::move(body);
             handleCall(request, call);
         } catch (const std::exception &error) {
+            const std::lock_guard lock(m_mutex);
             sendAnswer(request, makeErrorAnswer(kBadRequest, "BadRequest", error.what()));
         }
     });
@@ -249,6 +259,9 @@
     } else if (what == "compact" && request.method() == methods::POST) {
         m_table.compact();
         sendAnswer(request, {.body = Json::object()});
+    } else if (what == "restore" && request.method() == methods::POST) {
+        restore(body.is_object() ? body.value("versionsBack", std::uint64_t{0}) : 0);
+        sendAnswer(request, {.body = Json::object()});
     } else if (what == "faults" && request.method() == methods::POST) {
         ObjectFindings findings;
         const auto faults = readFields(body, "faults", kFaultFields, findings);
@@ -260,7 +273,7 @@
         m_faults = faults;
         sendAnswer(request, {.body = Json::object()});
     } else {
-        sendAnswer(request, makeErrorAnswer(404, "NotFound", "known: /standin/calls, /standin/faults, /standin/compact"));
+        sendAnswer(request, makeErrorAnswer(404, "NotFound", "known: /standin/calls, /standin/faults, /standin/compact, /standin/restore"));
     }
 }
 
@@ -328,14 +341,15 @@
 void PlatformServerImpl::startWatch(const http_request &request, const ApiCall &call)
 {
     const auto version = queryNumber(call.query, "resourceVersion", m_table.version());
-    if (version < m_table.compactedVersion()) {
-        sendAnswer(request, makeErrorAnswer(kGone, "Expired", "the version is compacted; list again"));
+    if (version < m_table.compactedVersion() || version > m_table.version()) {
+        sendAnswer(request, makeErrorAnswer(kGone, "Expired", "the version is compacted or was never given out; list again"));
         return;
     }
     const auto now = std::chrono::steady_clock::now();
     const std::chrono::seconds timeout(queryNumber(call.query, "timeoutSeconds", kDefaultWatchSeconds));
     auto &watch = m_watches.emplace_back(call.kind, version, now + timeout, now + m_options.bookmarkInterval);
     http_response response(web::http::status_codes::OK);
+    response.headers().add(m_dialect->eraHeader(), m_table.era());
     response.set_body(watch.body(), "application/json");
     request.reply(response);
     watch.writeEvents(m_table, {m_faults.duplicateWatchEvents, m_faults.reorderWatchEvents});
@@ -404,6 +418,22 @@
     m_table.compact();
 }
 
+/// Returns to an older copy, and cuts off open watches.
+void PlatformServerImpl::restore(std::uint64_t versionsBack)
+{
+    m_table.restore(versionsBack);
+    for (auto &it : m_watches) {
+        it.close();
+    }
+    m_watches.clear();
+}
+
+void PlatformServerImpl::restoreTable(std::uint64_t versionsBack)
+{
+    const std::lock_guard lock(m_mutex);
+    restore(versionsBack);
+}
+
 std::uint64_t PlatformServerImpl::calls(CallKind kind) const
 {
     const std::lock_guard lock(m_mutex);
@@ -443,6 +473,11 @@
     m_impl->compact();
 }
 
+void PlatformServer::restore(std::uint64_t versionsBack)
+{
+    m_impl->restoreTable(versionsBack);
+}
+
 std::uint64_t PlatformServer::calls(CallKind kind) const
 {
     return m_impl->calls(kind);
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -77,6 +77,8 @@
     void setFaults(const PlatformFaults &faults);
     /// Clears the event log, so that watches from earlier versions are answered with 410.
     void compact();
+    /// Returns to the state of @a versionsBack versions ago and cuts off open watches. The era in the answers rises by one.
+    void restore(std::uint64_t versionsBack);
     /// Returns the number of calls of @a kind since the start.
     std::uint64_t calls(CallKind kind) const;
     /// Reads an object without HTTP, for tests.
--- a/tests/io_store.cpp
+++ b/tests/io_store.cpp
@@ -201,6 +201,31 @@
     EXPECT_EQ(down.waitForEnd(), std::optional(make_error_code(StoreError::Unavailable)));
 }
 
+// A version that the store gave out before its return from a copy may belong to another change afterwards.
+TEST_F(PlatformTest, RestoredStoreGivesVersionsOutAgainUnderAHigherEra)
+{
+    write(makeWrite(WriteKind::Create, 1, "c1"));
+    write(makeWrite(WriteKind::Replace, 2, "c2", 1));
+    const auto before = readObjects(*client, ObjectKind::RetryPolicy).list;
+    WatchLog cut;
+    client->watchObjects({.kind = ObjectKind::RetryPolicy, .version = 2, .duration = 5s}, cut.eventHandler(), cut.endHandler());
+    server.restore(1);
+    EXPECT_TRUE(cut.waitForEnd());
+    WatchLog ahead;
+    client->watchObjects({.kind = ObjectKind::RetryPolicy, .version = 2, .duration = 5s}, ahead.eventHandler(), ahead.endHandler());
+    EXPECT_EQ(ahead.waitForEnd(), std::optional(make_error_code(StoreError::Expired)));
+    EXPECT_EQ(changeIdOf(readObject(*client, ObjectKind::RetryPolicy, "p").object), "c1");
+    EXPECT_FALSE(write(makeWrite(WriteKind::Replace, 3, "c3", 1)).ec);
+    const auto after = readObjects(*client, ObjectKind::RetryPolicy).list;
+    EXPECT_EQ(after.version, before.version);
+    EXPECT_EQ(after.era, before.era + 1);
+    WatchLog current;
+    client->watchObjects({.kind = ObjectKind::RetryPolicy, .version = 1, .duration = 1s}, current.eventHandler(), current.endHandler());
+    ASSERT_EQ(current.waitForEvents(1).size(), 1U);
+    EXPECT_EQ(current.waitForEvents(1)[0].era, after.era);
+    EXPECT_EQ(current.waitForEnd(), std::optional(std::error_code()));
+}
+
 TEST_F(PlatformTest, CallRateIsLimited)
 {
     const auto bounded = createStoreClient({.address = "127.0.0.1:" + std::to_string(server.port()), .callsPerSecond = 0.001, .burst = 2});
