--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -139,8 +139,10 @@
     const auto target = findTarget(fields, request);
     const auto &method = target.method;
     if (target.reason != Reason::None) {
-        respond(refuseBeforeCall(
-            {.reason = target.reason, .outcome = outcomeOfEntryRefusal(request, target.reason), .service = fields.service}));
+        respond(refuseBeforeCall({.reason = target.reason,
+                                  .outcome = outcomeOfEntryRefusal(request, target.reason),
+                                  .service = fields.service,
+                                  .target = fields.host + std::string(pathOf(request.target))}));
         return 0;
     }
     if (m_context.edge.usesRoutes()) {
@@ -336,6 +338,14 @@
     answer.body = refusal.detail;
     m_context.metrics.countOutcome(refusal.requestClass, answer.outcome, answer.reason, Duration{0});
     m_context.events.countRefusal(refusal.service, refusal.requestClass, answer.reason, {});
+    if (tryTakeDecisionLogToken()) {
+        writeLog(LogLevel::Info, "request refused before its call",
+                 {{"reason", std::string(rowOf(answer.reason).name)},
+                  {"outcome", std::string(rowOf(answer.outcome).name)},
+                  {"target", refusal.target},
+                  {"service", std::string(refusal.service)},
+                  {"detail", refusal.detail}});
+    }
     return m_context.edge.makeResponse({}, std::move(answer));
 }
 
--- a/src/node/entry/entry_service.h
+++ b/src/node/entry/entry_service.h
@@ -82,6 +82,8 @@
         RequestClass requestClass = RequestClass::Lookup;
         std::string_view service;
         std::string detail;
+        /// Host and path of the request, for the log; empty if they weren't read.
+        std::string target;
     };
 
     HttpResponse refuseBeforeCall(const Refusal &refusal);
