--- a/src/node/http/http_listener.h
+++ b/src/node/http/http_listener.h
@@ -53,20 +53,29 @@
     std::uint64_t m_usedBytes = 0;
 };
 
-struct HttpListenerOptions
+/// Limits on what a caller may send.
+struct CallerLimits
 {
-    std::string address;
+    /// A request with a larger body is refused with Reason::BodyTooLarge.
     std::uint64_t maxBodyBytes = 0;
     std::uint64_t maxHeaderBytes = 0;
-    std::uint64_t maxConnections = 0;
     /// Maximum time from the first byte of a request to the end of its header.
     Duration headerTimeout = std::chrono::seconds(10);
-    /// Maximum time from the end of a request's header to the end of its body, and for sending an answer.
-    Duration transferTimeout = std::chrono::seconds(10);
     /// Maximum time that a connection may stay open without a request.
     Duration idleTimeout = std::chrono::seconds(60);
 };
 
+struct HttpListenerOptions
+{
+    std::string address;
+    CallerLimits limits;
+    /// Size of the largest body that is buffered. A larger one within the caller's limit is refused with Reason::MemoryLimit.
+    std::uint64_t maxBufferedBodyBytes = 0;
+    std::uint64_t maxConnections = 0;
+    /// Maximum time from the end of a request's header to the end of its body, and for sending an answer.
+    Duration transferTimeout = std::chrono::seconds(10);
+};
+
 /// Accepts HTTP connections. Pipelined requests of a connection are served concurrently and answered in the order of arrival.
 class HttpListener
 {
@@ -78,7 +87,7 @@
     std::error_code start();
 
     /// Changes the limits. They apply to requests whose first byte arrives later, and to connections that become idle later.
-    void setLimits(std::uint64_t maxHeaderBytes, Duration headerTimeout, Duration idleTimeout);
+    void setLimits(const CallerLimits &limits);
 
     /// Closes each connection after its next answer. New connections are still accepted.
     void beginDrain();
--- a/src/node/http/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <unordered_set>
 
 #include <boost/beast/core.hpp>
@@ -24,6 +25,8 @@
 constexpr std::size_t kMaxReadBytes = 4 * 1024;
 /// Maximum number of requests of one connection in progress; further ones stay unread in the socket.
 constexpr std::size_t kMaxPipelinedRequests = 16;
+/// Largest header limit that the parser takes.
+constexpr std::uint64_t kMaxHeaderLimit = std::numeric_limits<std::uint32_t>::max();
 /// Interval between checks for connections that have timed out.
 constexpr Duration kTimeoutCheckInterval = std::chrono::seconds(1);
 /// How long a closing connection still reads and discards what the caller sends.
@@ -51,7 +54,7 @@
     Session(std::shared_ptr<Shared> shared, tcp::socket socket)
         : m_shared(std::move(shared))
         , m_socket(std::move(socket))
-        , m_deadline(std::chrono::steady_clock::now() + m_shared->options.idleTimeout)
+        , m_deadline(std::chrono::steady_clock::now() + m_shared->options.limits.idleTimeout)
     {
         m_shared->sessions.insert(this);
     }
@@ -177,10 +180,10 @@
         while (m_buf.size() > 0 && !isReadingPaused() && !m_isLastRequestRead) {
             if (!m_parser) {
                 m_parser.emplace();
-                m_parser->header_limit(static_cast<std::uint32_t>(m_shared->options.maxHeaderBytes));
-                m_parser->body_limit(m_shared->options.maxBodyBytes);
+                m_parser->header_limit(static_cast<std::uint32_t>(std::min(limits().maxHeaderBytes, kMaxHeaderLimit)));
+                m_parser->body_limit(std::min(limits().maxBodyBytes, m_shared->options.maxBufferedBodyBytes));
                 m_isBodyAdmitted = false;
-                setTimeout(m_shared->options.headerTimeout);
+                setTimeout(limits().headerTimeout);
             }
             beast::error_code ec;
             m_buf.consume(m_parser->put(m_buf.data(), ec));
@@ -191,6 +194,9 @@
             if (m_parser->is_header_done() && !m_isBodyAdmitted && !admitBody()) {
                 break;
             }
+            if (!reserveUpTo(m_parser->get().body().size())) {
+                break;
+            }
             if (m_parser->is_done()) {
                 serve();
             } else if (ec == http::error::need_more) {
@@ -204,17 +210,9 @@
     {
         m_isBodyAdmitted = true;
         setTimeout(m_shared->options.transferTimeout);
-        const auto length = m_parser->content_length();
-        if (length && *length > m_shared->options.maxBodyBytes) {
-            refuse(Reason::BodyTooLarge);
-            return false;
-        }
-        const std::uint64_t bytes = m_parser->chunked() ? m_shared->options.maxBodyBytes : length.value_or(0);
-        if (!m_shared->budget.tryReserve(bytes)) {
-            refuse(Reason::MemoryLimit);
+        if (!reserveUpTo(m_parser->content_length().value_or(0))) {
             return false;
         }
-        m_reservedBytes = bytes;
         const bool isExpecting = beast::iequals(m_parser->get()[http::field::expect], "100-continue");
         if (isExpecting && m_exchanges.empty() && !m_parser->is_done()) {
             writeContinue();
@@ -222,6 +220,36 @@
         return true;
     }
 
+    /// Reserves memory for the body that is being read, @a bytes in all; refuses the request when there is none. A body in chunks is
+    /// reserved as it arrives.
+    bool reserveUpTo(std::uint64_t bytes)
+    {
+        if (bytes <= m_reservedBytes) {
+            return true;
+        }
+        if (!m_shared->budget.tryReserve(bytes - m_reservedBytes)) {
+            refuse(Reason::MemoryLimit);
+            return false;
+        }
+        m_reservedBytes = bytes;
+        return true;
+    }
+
+    const CallerLimits &limits() const
+    {
+        return m_shared->options.limits;
+    }
+
+    /// Returns why a body can't be buffered: a body in chunks, whose length isn't known, is taken for one within the caller's limit if the
+    /// buffer is smaller than that.
+    Reason reasonOfBodyLimit() const
+    {
+        const auto stated = m_parser->get()[http::field::content_length];
+        const auto length = parseWholeNumber({stated.data(), stated.size()}).value_or(0);
+        const bool isWithinLimit = m_shared->options.maxBufferedBodyBytes < limits().maxBodyBytes && length <= limits().maxBodyBytes;
+        return isWithinLimit ? Reason::MemoryLimit : Reason::BodyTooLarge;
+    }
+
     void writeContinue()
     {
         auto message = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
@@ -235,7 +263,7 @@
     void refuseParseError(beast::error_code ec)
     {
         if (ec == http::error::body_limit) {
-            refuse(Reason::BodyTooLarge);
+            refuse(reasonOfBodyLimit());
         } else if (ec == http::error::header_limit) {
             refuse(Reason::HeaderTooLarge);
         } else if (isSyntaxError(ec)) {
@@ -349,7 +377,7 @@
             closeGracefully();
             return;
         }
-        setTimeout(m_shared->options.idleTimeout);
+        setTimeout(limits().idleTimeout);
         write();
         parse();
         if (m_shared->isStopping) {
@@ -420,11 +448,9 @@
     return ec;
 }
 
-void HttpListener::setLimits(std::uint64_t maxHeaderBytes, Duration headerTimeout, Duration idleTimeout)
+void HttpListener::setLimits(const CallerLimits &limits)
 {
-    m_shared->options.maxHeaderBytes = maxHeaderBytes;
-    m_shared->options.headerTimeout = headerTimeout;
-    m_shared->options.idleTimeout = idleTimeout;
+    m_shared->options.limits = limits;
 }
 
 void HttpListener::startTimeoutTimer()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -69,8 +69,8 @@
 HttpListenerOptions listenerOptions(const NodeSettings &settings, const std::string &address)
 {
     return HttpListenerOptions{.address = address,
-                               .maxBodyBytes = settings.maxBodyBytes,
-                               .maxHeaderBytes = settings.maxHeaderBytes,
+                               .limits = {.maxBodyBytes = settings.maxBodyBytes, .maxHeaderBytes = settings.maxHeaderBytes},
+                               .maxBufferedBodyBytes = settings.maxBodyBytes,
                                .maxConnections = settings.maxCallerConnections};
 }
 
@@ -185,7 +185,10 @@
     {
         if (m_context.config.hasRoutes()) {
             const auto &limits = m_context.config.trafficLimits();
-            m_callerListener.setLimits(limits.maxHeaderBytes, limits.headerTimeout, limits.idleTimeout);
+            m_callerListener.setLimits({.maxBodyBytes = limits.maxBodyBytes,
+                                        .maxHeaderBytes = limits.maxHeaderBytes,
+                                        .headerTimeout = limits.headerTimeout,
+                                        .idleTimeout = limits.idleTimeout});
         }
     }
 
--- a/tests/io_http_listener.cpp
+++ b/tests/io_http_listener.cpp
@@ -81,11 +81,12 @@
 public:
     explicit Server(std::uint64_t maxConnections = 64, std::uint64_t maxBytes = 4 * kMaxBody)
         : m_budget(maxBytes)
-        , m_listener(
-              m_io,
-              HttpListenerOptions{
-                  .address = "127.0.0.1:0", .maxBodyBytes = kMaxBody, .maxHeaderBytes = kMaxHeader, .maxConnections = maxConnections},
-              m_handler, m_budget)
+        , m_listener(m_io,
+                     HttpListenerOptions{.address = "127.0.0.1:0",
+                                         .limits = {.maxBodyBytes = kMaxBody, .maxHeaderBytes = kMaxHeader},
+                                         .maxBufferedBodyBytes = kMaxBody,
+                                         .maxConnections = maxConnections},
+                     m_handler, m_budget)
     {
         EXPECT_FALSE(m_listener.start());
         m_port = m_listener.port();
@@ -99,11 +100,11 @@
         m_thread.join();
     }
 
-    void setLimits(std::uint64_t maxHeaderBytes, Duration headerTimeout, Duration idleTimeout)
+    void setLimits(const CallerLimits &limits)
     {
         std::promise<void> done;
         asio::post(m_io, [&] {
-            m_listener.setLimits(maxHeaderBytes, headerTimeout, idleTimeout);
+            m_listener.setLimits(limits);
             done.set_value();
         });
         done.get_future().wait();
@@ -331,8 +332,11 @@
     EXPECT_TRUE(kept.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
     // The client may read the answer before the server has processed the end of its write. The first setLimits() waits for a
     // round of the server's loop, so the tighter limits are set after it.
-    server.setLimits(kMaxHeader, std::chrono::seconds(10), std::chrono::seconds(60));
-    server.setLimits(512, std::chrono::milliseconds(200), std::chrono::milliseconds(100));
+    server.setLimits({.maxBodyBytes = kMaxBody, .maxHeaderBytes = kMaxHeader});
+    server.setLimits({.maxBodyBytes = kMaxBody,
+                      .maxHeaderBytes = 512,
+                      .headerTimeout = std::chrono::milliseconds(200),
+                      .idleTimeout = std::chrono::milliseconds(100)});
     EXPECT_TRUE(callOnce(server.m_port, post("", "X: " + std::string(1024, 'h') + "\r\n")).starts_with("HTTP/1.1 431"));
     // The header is incomplete; the connection must close well before the former time limit of 10 s.
     Client slow(server.m_port);
@@ -343,3 +347,30 @@
     EXPECT_TRUE(kept.readAll().starts_with("HTTP/1.1 200"));
     EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(8));
 }
+
+// An operator's limit on bodies above what the node buffers: 413 would tell the caller that its request is wrong, and it isn't.
+TEST(HttpListener, BodyWithinTheOperatorsLimitIsNotAnsweredAsTooLarge)
+{
+    Server server;
+    server.setLimits({.maxBodyBytes = 4 * kMaxBody, .maxHeaderBytes = kMaxHeader});
+    EXPECT_TRUE(callOnce(server.m_port, post(std::string(kMaxBody + 1, 'a'))).starts_with("HTTP/1.1 503"));
+    EXPECT_TRUE(callOnce(server.m_port, post(std::string(4 * kMaxBody + 1, 'a'))).starts_with("HTTP/1.1 413"));
+    server.setLimits({.maxBodyBytes = 100, .maxHeaderBytes = kMaxHeader});
+    EXPECT_TRUE(callOnce(server.m_port, post(std::string(101, 'a'))).starts_with("HTTP/1.1 413"));
+    EXPECT_TRUE(callOnce(server.m_port, post(std::string(100, 'a'))).starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(server.m_handler.m_begun, 1);
+}
+
+// A body in chunks must not hold memory for the largest possible body: a few of them would exhaust the node's limit.
+TEST(HttpListener, BodiesInChunksReserveWhatTheyHold)
+{
+    constexpr int kRequests = 32;
+    Server server(64, kMaxBody);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int n = 0; n < kRequests; ++n) {
+        clients.push_back(std::make_unique<Client>(server.m_port));
+        clients.back()->send("POST /hold HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    }
+    waitFor(server.m_handler.m_begun, kRequests);
+    EXPECT_EQ(server.m_handler.m_begun, kRequests);
+}
