--- a/src/node/http/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -179,6 +179,10 @@
         }
         while (m_buf.size() > 0 && !isReadingPaused() && !m_isLastRequestRead) {
             if (!m_parser) {
+                skipEmptyLines();
+                if (m_buf.size() == 0) {
+                    break;
+                }
                 m_parser.emplace();
                 m_parser->header_limit(static_cast<std::uint32_t>(std::min(limits().maxHeaderBytes, kMaxHeaderLimit)));
                 m_parser->body_limit(std::min(limits().maxBodyBytes, m_shared->options.maxBufferedBodyBytes));
@@ -206,6 +210,14 @@
         read();
     }
 
+    /// Some callers send an empty line after a body; RFC 9112 has servers ignore it.
+    void skipEmptyLines()
+    {
+        const auto bytes = m_buf.data();
+        const std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
+        m_buf.consume(std::min(text.find_first_not_of("\r\n"), text.size()));
+    }
+
     bool admitBody()
     {
         m_isBodyAdmitted = true;
--- a/tests/io_http_listener.cpp
+++ b/tests/io_http_listener.cpp
@@ -374,3 +374,31 @@
     waitFor(server.m_handler.m_begun, kRequests);
     EXPECT_EQ(server.m_handler.m_begun, kRequests);
 }
+
+// Forms of a request that HTTP/1.1 allows and few callers use.
+TEST(HttpListener, ProperRequestsOfRareFormAreNotAnsweredWithA4xx)
+{
+    Server server;
+    const std::string chunkedHead = "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n";
+    auto fullHeader = post("", "X: \r\n");
+    fullHeader = post("", "X: " + std::string(kMaxHeader - fullHeader.size(), 'h') + "\r\n");
+    const std::vector<std::string> requests{
+        chunkedHead + "\r\n4;name=value\r\nbody\r\n0\r\n\r\n",
+        chunkedHead + "\r\n4 ;n=\"a;b\"\r\nbody\r\n0\r\n\r\n",
+        chunkedHead + "Trailer: X-Sum\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 7\r\n\r\n",
+        chunkedHead + "\r\n0004\r\nbody\r\n000\r\n\r\n",
+        chunkedHead + "\r\n4\r\nBODY\r\n000000\r\n\r\n",
+        "\r\nGET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+        "GET http://a/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+        "GET /x HTTP/1.1\r\nhost:a\r\nX-Empty:\r\nconnection:  close  \r\n\r\n",
+        "GET /x?q=%20&r=[1] HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, close\r\n\r\n",
+        "REPORT /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
+        "GET /x HTTP/1.0\r\nHost: a\r\n\r\n",
+        fullHeader,
+    };
+    for (const auto &it : requests) {
+        const auto answer = callOnce(server.m_port, it);
+        EXPECT_NE(answer.find(" 200 "), std::string::npos) << it.substr(0, 120) << "\n" << answer.substr(0, 200);
+    }
+}
