--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -32,6 +32,9 @@
     Duration minAuditPeriod = std::chrono::seconds(20);
     /// A pull without an answer within this time has failed, so that a peer that stopped doesn't block further pulls.
     Duration pullTimeout = std::chrono::milliseconds(600);
+    /// How long objects that the store lost with its return from a copy stay in force, so that their authors can write them again.
+    /// Afterwards the store's list decides.
+    Duration lostObjectRetention = std::chrono::minutes(10);
     /// Maximum size of the objects in one answer to a pull; a single larger object is sent nevertheless.
     std::size_t maxPullBytes = 512 * 1024;
 };
@@ -88,6 +91,8 @@
     std::uint64_t pulls = 0;
     std::uint64_t failedPulls = 0;
     std::uint64_t emptyPulls = 0;
+    /// Lists that the store answered in an earlier era than the highest one known.
+    std::uint64_t earlierEraLists = 0;
 };
 
 /// The configuration set of a node, and its synchronization with the store and with peers.
@@ -108,7 +113,8 @@
     std::optional<TimePoint> storeDownSince() const;
     /// Returns the highest era of the store that this node knows from the store or from peers; 0 if none.
     std::uint64_t storeEra() const;
-    /// Returns the number of objects in force that the store lost with the return from a copy: the last list doesn't contain them.
+    /// Returns the number of objects in force that the store seems to have lost with its return from a copy: they are of an earlier era and
+    /// missing from the last list.
     std::size_t lostObjectCount() const;
 
     /// Returns whether a node with @a digest has @a revision of the object, or a later one, in force: @a digest is that of this node, now
@@ -195,6 +201,7 @@
     ConfigSyncCounters m_counters;
     std::size_t m_memberCount = 1;
     std::uint64_t m_storeEra = 0;
+    TimePoint m_storeEraSince{};
     bool m_isWatcher = false;
     bool m_isConfigured = false;
     TimePoint m_nextStoreCallAt{};
--- a/src/config/config_sync_store.cpp
+++ b/src/config/config_sync_store.cpp
@@ -140,6 +140,7 @@
         return;
     }
     m_storeEra = era;
+    m_storeEraSince = now;
     for (auto &it : m_kinds) {
         it.resumeVersion = 0;
         it.nextListAt = m_isWatcher ? now : it.nextListAt;
@@ -150,6 +151,7 @@
 {
     if (at.era < m_storeEra) {
         kindState(kind).hasOpenCall = false;
+        ++m_counters.earlierEraLists;
         recordStoreFailure(now, random);
         return;
     }
@@ -185,8 +187,8 @@
     return count;
 }
 
-/// Adds a tombstone for each object in force that is older than the list but missing from it. An object of an earlier era wasn't deleted:
-/// the store lost it, and it stays in force until it is written again or deleted.
+/// Adds a tombstone for each object in force that is older than the list but missing from it. An object of an earlier era was either
+/// lost by the store or deleted after its return, which the list can't tell; it stays in force for lostObjectRetention.
 void ConfigSync::applyDeletions(TimePoint now, ObjectKind kind, const StoreRevision &at, std::span<const ParsedObject> objects)
 {
     std::set<std::string_view> listed;
@@ -200,7 +202,7 @@
         if (it.object->kind != kind || order.revision >= at || listed.contains(it.object->name)) {
             continue;
         }
-        if (order.revision.era < at.era) {
+        if (order.revision.era < at.era && now - m_storeEraSince < m_options.lostObjectRetention) {
             ++lostObjects;
             continue;
         }
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -157,6 +157,10 @@
             m_sync.onListFailed(now, m_context.random, kind);
             return;
         }
+        if (list.at.era < m_sync.storeEra()) {
+            writeLog(LogLevel::Warning, "the configuration store answered in an earlier era; the answer counts as failed",
+                     {{"era", std::to_string(list.at.era)}, {"eraKnown", std::to_string(m_sync.storeEra())}});
+        }
         m_sync.onListed(now, m_context.random, kind, list.at, list.objects);
         publish(now);
     };
@@ -252,11 +256,12 @@
 void ConfigDriver::recordRefusedObjects()
 {
     for (const auto &[key, refused] : m_sync.set().refusedObjects()) {
+        const StoreRevision revision{refused.storeEra, refused.version};
         auto &recorded = m_recordedRefusals[key];
-        if (recorded == refused.version) {
+        if (recorded == revision) {
             continue;
         }
-        recorded = refused.version;
+        recorded = revision;
         m_context.recordEvent(Event{.kind = EventKind::ConfigRefused,
                                     .subject = subjectOf(key),
                                     .value = static_cast<std::int64_t>(refused.version),
@@ -289,8 +294,10 @@
     if (m_sync.storeEra() != m_recordedStoreEra) {
         // The first era that a node learns is no event.
         if (m_recordedStoreEra != 0) {
-            writeLog(LogLevel::Warning, "the configuration store returned from an older copy; what it lost stays in force",
-                     {{"era", std::to_string(m_sync.storeEra())}, {"eraBefore", std::to_string(m_recordedStoreEra)}});
+            writeLog(LogLevel::Warning, "the configuration store returned from an older copy",
+                     {{"era", std::to_string(m_sync.storeEra())},
+                      {"eraBefore", std::to_string(m_recordedStoreEra)},
+                      {"lostObjects", std::to_string(m_sync.lostObjectCount())}});
         }
         m_recordedStoreEra = m_sync.storeEra();
     }
@@ -307,10 +314,9 @@
 
 InForceCount ConfigDriver::countInForce(const ObjectKey &key, std::uint64_t version, std::uint64_t contentHash)
 {
-    const auto *entry = m_sync.set().findIncludingDeleted(key.kind, key.name);
-    // Without a hash, the version is taken for one of the era in which the object was read.
-    StoreRevision revision{contentHash == 0 && entry ? entry->object->storeEra : m_sync.storeEra(), version};
-    if (entry && !entry->object->deleted && contentHash != 0 && entry->object->contentHash == contentHash) {
+    const auto *entry = m_sync.set().find(key.kind, key.name);
+    StoreRevision revision{m_sync.storeEra(), version};
+    if (entry && contentHash != 0 && entry->object->contentHash == contentHash) {
         // A write of the status alone gives an object a new version. Nodes that have the same content under an earlier version
         // count as well.
         revision = entry->object->order().revision;
--- a/src/node/control/config_driver.h
+++ b/src/node/control/config_driver.h
@@ -63,7 +63,7 @@
     boost::asio::steady_timer m_timer;
     std::uint64_t m_publishedDigest = 0;
     std::uint64_t m_recordedChanges = 0;
-    std::map<ObjectKey, std::uint64_t> m_recordedRefusals;
+    std::map<ObjectKey, StoreRevision> m_recordedRefusals;
     std::map<ObjectKey, VersionOrder> m_recordedIgnored;
     std::uint64_t m_recordedStoreEra = 0;
     bool m_isStoreDown = false;
