--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -81,6 +81,15 @@
     }
 }
 
+/// Checks the version that the author declares. Without it, an object that has one in force would be ignored as older.
+void checkDeclaredVersion(const Json &metadata, ObjectFindings &findings)
+{
+    const auto it = metadata.find(std::string(kDeclaredVersionKey));
+    if (it != metadata.end() && !it->is_number_unsigned()) {
+        findings.addFault("metadata.declaredVersion", "must be a whole number");
+    }
+}
+
 ChangeNote readChangeNote(const Json &metadata)
 {
     const auto annotations = objectMember(metadata, "annotations");
@@ -108,6 +117,7 @@
         findings.addFault("metadata.name", "must be 1 to 63 lower-case letters, digits, hyphens and dots");
     }
     readVersion(metadata, parsed, findings);
+    checkDeclaredVersion(metadata, findings);
     for (const auto &it : json.items()) {
         if (std::find(kTopLevelKeys.begin(), kTopLevelKeys.end(), it.key()) == kTopLevelKeys.end()) {
             findings.unknownKeys.push_back({it.key(), "isn't a known field"});
--- a/src/config/set.cpp
+++ b/src/config/set.cpp
@@ -38,6 +38,7 @@
     if (it == m_objects.end() && m_objects.size() >= kMaxObjects && !evictOldestTombstone(object->order().revision)) {
         return ApplyResult::Full;
     }
+    m_ignored.erase(key);
     forgetRefusal(*object);
     if (it != m_objects.end() && it->second.object->contentHash == object->contentHash) {
         it->second.object = std::move(object);
--- a/src/node/control/operator_views_json.cpp
+++ b/src/node/control/operator_views_json.cpp
@@ -56,6 +56,8 @@
     return {{"kind", rowOf(entry.object->kind).name},
             {"name", entry.object->name},
             {"version", entry.object->version},
+            {"storeEra", entry.object->storeEra},
+            {"declaredVersion", entry.object->declaredVersion},
             {"generation", entry.object->generation},
             {"inForceForMs", toMilliseconds(now - entry.since)},
             {"change", describeChange(entry.object->change)}};
@@ -86,6 +88,20 @@
     return list;
 }
 
+Json describeIgnored(const ConfigSet &set, TimePoint now)
+{
+    auto list = Json::array();
+    for (const auto &[key, ignored] : set.ignoredObjects()) {
+        list.push_back({{"object", subjectOf(key.kind, key.name)},
+                        {"version", ignored.order.revision.number},
+                        {"storeEra", ignored.order.revision.era},
+                        {"declaredVersion", ignored.order.declared},
+                        {"ignoredForMs", toMilliseconds(now - ignored.at)},
+                        {"change", describeChange(ignored.change)}});
+    }
+    return list;
+}
+
 Json describeConfigState(const OperatorSources &sources, TimePoint now)
 {
     const auto &sync = sources.config.sync();
@@ -99,6 +115,7 @@
             {"storeEra", sync.storeEra()},
             {"lostByStore", sync.lostObjectCount()},
             {"refused", describeRefused(sync.set(), now)},
+            {"ignored", describeIgnored(sync.set(), now)},
             {"findings", describeFindings(sync.set().checkReferences())},
             {"storeCalls", {{"list", counters.listCalls}, {"watch", counters.watchCalls}, {"failed", counters.failedCalls}}},
             {"pulls", {{"begun", counters.pulls}, {"failed", counters.failedPulls}, {"empty", counters.emptyPulls}}}};
--- a/tests/io_platform_store.cpp
+++ b/tests/io_platform_store.cpp
@@ -178,6 +178,19 @@
     EXPECT_FALSE(parsed.findings.empty());
 }
 
+// A version that can't be read would rank below each one in force, so the table would be ignored for good.
+TEST(SidecarStore, ConfigurationWithoutAReadableVersionIsRefused)
+{
+    for (const std::string version : {"\"\"", "\"12\"", "\"rx\"", "7"}) {
+        auto damaged = kConfig;
+        damaged.replace(damaged.find("\"r7\""), 4, version);
+        ScriptedStore store({{200, R"({"items":[)" + damaged + R"(],"hasMore":false,"at":12})"}});
+        const auto result = readObjects(*makeClient(store), ObjectKind::RouteTable);
+        ASSERT_EQ(result.list.objects.size(), 1U);
+        EXPECT_FALSE(parseObject(result.list.objects[0]).object) << version;
+    }
+}
+
 TEST(SidecarStore, WatchReturnsEventsAndTheVersionToContinueFrom)
 {
     ScriptedStore store({{200, R"({"events":[{"deleted":false,"object":)" + kConfig + R"(}],"at":15})"}});
