--- a/src/membership/contact_sweep.cpp
+++ b/src/membership/contact_sweep.cpp
@@ -3,6 +3,8 @@
 
 #include "membership/contact_sweep.h"
 
+#include <algorithm>
+
 namespace chicoryspar {
 namespace {
 
@@ -21,6 +23,12 @@
 
 } // namespace
 
+bool containsContact(std::span<const ListedContact> contacts, std::string_view name, std::string_view address)
+{
+    return std::any_of(contacts.begin(), contacts.end(),
+                       [name, address](const ListedContact &it) { return it.name == name && it.address == address; });
+}
+
 ContactSweep::ContactSweep(ContactSweepOptions options)
     : m_options(options)
 {
@@ -45,8 +53,9 @@
             continue;
         }
         const auto known = m_absences.find(it.name);
-        const bool isSameContact = known != m_absences.end() && known->second.version == it.version;
-        const Absence absence{.version = it.version, .since = isSameContact ? known->second.since : now};
+        const bool isSameContact =
+            known != m_absences.end() && known->second.version == it.version && known->second.storeEra == it.storeEra;
+        const Absence absence{.version = it.version, .storeEra = it.storeEra, .since = isSameContact ? known->second.since : now};
         absences[it.name] = absence;
         if (now - absence.since >= m_options.retention && removals.size() < m_options.maxRemovals) {
             removals.push_back(it);
--- a/src/membership/contact_sweep.h
+++ b/src/membership/contact_sweep.h
@@ -20,8 +20,14 @@
     std::string address;
     /// Version in the store; a removal must be conditional on it.
     std::uint64_t version = 0;
+    /// Era of the store. A version may belong to another contact in a later one.
+    std::uint64_t storeEra = 0;
 };
 
+/// Returns whether the list has a contact of this name and address. A store that returned from an older copy may hold the address of an
+/// earlier process of the host.
+bool containsContact(std::span<const ListedContact> contacts, std::string_view name, std::string_view address);
+
 struct ContactSweepOptions
 {
     NodeId self;
@@ -48,6 +54,7 @@
     struct Absence
     {
         std::uint64_t version = 0;
+        std::uint64_t storeEra = 0;
         TimePoint since;
     };
 
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -91,6 +91,8 @@
 
     ChangeSignal configChanged;
     ChangeSignal membersChanged;
+    /// The store returned from an older copy: what this node wrote there may be gone.
+    ChangeSignal storeRestored;
     ChangeSignal backendChanged;
 };
 
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -294,6 +294,7 @@
     if (m_sync.storeEra() != m_recordedStoreEra) {
         // The first era that a node learns is no event.
         if (m_recordedStoreEra != 0) {
+            m_context.storeRestored.emitChange(steadyNow());
             writeLog(LogLevel::Warning, "the configuration store returned from an older copy",
                      {{"era", std::to_string(m_sync.storeEra())},
                       {"eraBefore", std::to_string(m_recordedStoreEra)},
--- a/src/node/control/contact_directory.cpp
+++ b/src/node/control/contact_directory.cpp
@@ -21,14 +21,17 @@
 constexpr Duration kMinListInterval = std::chrono::seconds(60);
 /// A list may be some seconds old, so a contact written less than this ago may be missing from it.
 constexpr Duration kMaxListAge = std::chrono::seconds(30);
+/// Window over which nodes spread their lists after the store returned from an older copy.
+constexpr Duration kRestoreListWindow = std::chrono::seconds(10);
 constexpr Duration kMinBackoff = std::chrono::milliseconds(300);
 constexpr Duration kMaxBackoff = std::chrono::seconds(4);
 
-ListedContact readContact(const std::string &object)
+ListedContact readContact(const std::string &object, std::uint64_t storeEra)
 {
-    const auto parsed = parseObject(object);
+    const auto parsed = parseObject(object, storeEra);
     const auto *contact = parsed.object ? std::get_if<ContactSpec>(&parsed.object->spec) : nullptr;
-    return {.name = parsed.name, .address = contact ? contact->address : std::string(), .version = parsed.version};
+    return {
+        .name = parsed.name, .address = contact ? contact->address : std::string(), .version = parsed.version, .storeEra = parsed.storeEra};
 }
 
 } // namespace
@@ -46,6 +49,7 @@
 void ContactDirectory::start()
 {
     if (m_isEnabled && m_store.hasStore()) {
+        m_context.storeRestored.connect([this](TimePoint) { onStoreRestored(); });
         run();
     }
 }
@@ -55,6 +59,12 @@
     m_timer.cancel();
 }
 
+void ContactDirectory::onStoreRestored()
+{
+    m_isStoreRestored = true;
+    scheduleRun(Duration(static_cast<Duration::rep>(drawUnit(m_context.random) * static_cast<double>(kRestoreListWindow.count()))));
+}
+
 void ContactDirectory::scheduleRun(Duration delay)
 {
     m_timer.expires_after(delay);
@@ -117,7 +127,7 @@
                                 [wrapped = m_store.bindToNodeThread(std::move(handler))](std::error_code ec, const ObjectList &objects) {
                                     std::vector<ListedContact> contacts;
                                     for (const auto &it : objects.objects) {
-                                        contacts.push_back(readContact(it));
+                                        contacts.push_back(readContact(it, objects.era));
                                     }
                                     wrapped(ec, std::move(contacts));
                                 });
@@ -141,6 +151,7 @@
         writeLog(LogLevel::Warning, "this node's contact is missing from the store, writing it again");
         m_isWritten = false;
     }
+    m_isStoreRestored = false;
     const bool isAlone = m_membership.membership().presentCount() <= 1;
     if (!m_isWritten || (m_hasListed && isAlone)) {
         // A list may be older than the contacts of nodes that started with this one.
@@ -160,8 +171,8 @@
 
 bool ContactDirectory::isOwnContactMissing(TimePoint now, const std::vector<ListedContact> &contacts) const
 {
-    const auto isOwn = [this](const ListedContact &it) { return it.name == m_context.settings.name; };
-    return m_isWritten && now - m_writtenAt >= kMaxListAge && std::none_of(contacts.begin(), contacts.end(), isOwn);
+    const bool mayListShow = m_isStoreRestored || now - m_writtenAt >= kMaxListAge;
+    return m_isWritten && mayListShow && !containsContact(contacts, m_context.settings.name, m_context.peersAddress);
 }
 
 void ContactDirectory::sweep(const std::vector<ListedContact> &contacts)
--- a/src/node/control/contact_directory.h
+++ b/src/node/control/contact_directory.h
@@ -31,7 +31,10 @@
     void onListed(std::error_code ec, const std::vector<ListedContact> &contacts);
     /// Removes contacts of hosts that are gone.
     void sweep(const std::vector<ListedContact> &contacts);
-    /// Returns whether the list should contain this node's contact but doesn't: another node may have taken this host for gone.
+    /// Lists the contacts soon after the store returned from an older copy, which may lack this node's contact.
+    void onStoreRestored();
+    /// Returns whether the list should contain this node's contact but doesn't: another node may have taken this host for gone, or the
+    /// store lost it.
     bool isOwnContactMissing(TimePoint now, const std::vector<ListedContact> &contacts) const;
     Duration listInterval() const;
     std::string makeOwnContact() const;
@@ -45,6 +48,8 @@
     bool m_isEnabled;
     bool m_isWritten = false;
     bool m_hasListed = false;
+    /// Whether the store returned from an older copy since the last list.
+    bool m_isStoreRestored = false;
     TimePoint m_writtenAt{};
     ContactSweep m_sweep;
 };
--- a/tests/test_contact_sweep.cpp
+++ b/tests/test_contact_sweep.cpp
@@ -110,3 +110,24 @@
     sweeps.list(TimePoint{1h}, unreadable);
     EXPECT_TRUE(sweeps.list(TimePoint{1h} + 2 * kRetention, unreadable).empty());
 }
+
+// A store that returned from an older copy gives versions out again: a contact with the version of a former one isn't that one.
+TEST(ContactSweep, AVersionGivenOutAgainStartsTheRetentionAnew)
+{
+    const auto members = makeMembers(3);
+    Sweeps sweeps(members);
+    auto gone = kGone;
+    gone.storeEra = 1;
+    EXPECT_TRUE(sweeps.list(TimePoint{1h}, {gone}).empty());
+    gone.storeEra = 2;
+    EXPECT_TRUE(sweeps.list(TimePoint{1h} + kRetention, {gone}).empty());
+    EXPECT_EQ(sweeps.list(TimePoint{1h} + 2 * kRetention, {gone}).size(), 1U);
+}
+
+TEST(ContactSweep, AnEarlierAddressOfAHostIsNotItsContact)
+{
+    const std::vector<ListedContact> contacts{kLive};
+    EXPECT_TRUE(containsContact(contacts, "live", "10.0.0.1:7"));
+    EXPECT_FALSE(containsContact(contacts, "live", "10.0.0.1:9"));
+    EXPECT_FALSE(containsContact(contacts, "other", "10.0.0.1:7"));
+}
