--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -434,8 +434,8 @@
 
     /// Objects whose latest version was refused; the entry is removed once a version at least as high is in force.
     const std::map<ObjectKey, RefusedObject> &refusedObjects() const;
-    /// Objects of which a version that isn't newer, with other content than the one in force, was ignored; the entry is removed once a newer
-    /// version is in force.
+    /// Objects of which a version that isn't newer, with other content than the one in force, was ignored; the entry is removed once a
+    /// newer version is in force.
     const std::map<ObjectKey, IgnoredObject> &ignoredObjects() const;
     /// The last kChangeHistoryLength changes, oldest first.
     const std::deque<AppliedChange> &history() const;
