--- a/tests/io_platform_edge.cpp
+++ b/tests/io_platform_edge.cpp
@@ -138,6 +138,18 @@
     EXPECT_EQ(edge().classifyAnswer({.status = 200, .headers = encodedHeaders}).outcome, Outcome::Unknown);
 }
 
+// A 4xx tells the caller not to retry; one from whatever listens at a reused address must not reach it as the backend server's.
+TEST(SidecarAnswer, UnsignedErrorOfTheCallerIsNotTheBackendServersAnswer)
+{
+    for (const std::uint16_t status : {301, 400, 404, 413, 431}) {
+        const HttpResponse foreign{.status = status, .headers = {{"Content-Type", "text/html"}}};
+        EXPECT_EQ(edge().classifyAnswer(foreign).outcome, Outcome::Unknown) << status;
+        const HttpResponse own{.status = status, .headers = {{"X-Request-Id", "r"}, {"X-Response-Signature", "s"}}};
+        EXPECT_EQ(edge().classifyAnswer(own).outcome, Outcome::Answer) << status;
+    }
+    EXPECT_EQ(edge().classifyAnswer({.status = 400, .headers = {{"X-Not-Executed", "1"}}}).outcome, Outcome::NotRun);
+}
+
 TEST(SidecarAnswer, MatchesTheRequestIdentifier)
 {
     EXPECT_TRUE(edge().isAnswerTo("r", {.headers = {{"X-Request-Id", "r"}}}));
