--- a/include/chicoryspar/http.h
+++ b/include/chicoryspar/http.h
@@ -51,9 +51,18 @@
 /// @returns nothing when @a text contains anything else or the number exceeds 64 bits
 std::optional<std::uint64_t> parseWholeNumber(std::string_view text);
 
-/// Returns the path of a request target, without query.
+/// Returns host and port of a request target in absolute form, such as "a.example:80" of "http://a.example:80/x"; empty for other forms.
+std::string_view authorityOf(std::string_view target);
+
+/// Returns the path of a request target, without scheme, authority and query.
 std::string_view pathOf(std::string_view target);
 
+/// Returns @a text with the letters A to Z in lower case.
+std::string toLowerCase(std::string_view text);
+
+/// Returns the host that a request is for, in lower case and without port: that of an absolute target, otherwise that of the Host header.
+std::string hostOf(std::string_view target, const std::vector<HeaderField> &headers);
+
 // Announcements
 
 /// One announcement of a backend server.
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -14,6 +14,8 @@
     "upgrade",    "expect",
 };
 
+constexpr std::string_view kSchemeEnd = "://";
+
 char toLower(char c)
 {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -53,9 +55,38 @@
     return std::any_of(kHopByHop.begin(), kHopByHop.end(), [&](std::string_view it) { return equalsIgnoringCase(it, name); });
 }
 
+std::string_view authorityOf(std::string_view target)
+{
+    const auto scheme = target.find(kSchemeEnd);
+    if (target.starts_with('/') || scheme == std::string_view::npos) {
+        return {};
+    }
+    const auto rest = target.substr(scheme + kSchemeEnd.size());
+    return rest.substr(0, rest.find_first_of("/?#"));
+}
+
 std::string_view pathOf(std::string_view target)
 {
-    return target.substr(0, target.find_first_of("?#"));
+    const auto authority = authorityOf(target);
+    if (!authority.empty()) {
+        target.remove_prefix(static_cast<std::size_t>(authority.end() - target.begin()));
+    }
+    const auto path = target.substr(0, target.find_first_of("?#"));
+    return path.empty() && !authority.empty() ? std::string_view("/") : path;
+}
+
+std::string toLowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), toLower);
+    return lower;
+}
+
+std::string hostOf(std::string_view target, const std::vector<HeaderField> &headers)
+{
+    const auto authority = authorityOf(target);
+    const auto host = authority.empty() ? findHeader(headers, "Host").value_or("") : authority;
+    return toLowerCase(host.substr(0, host.find(':')));
 }
 
 std::optional<std::uint64_t> parseWholeNumber(std::string_view text)
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -285,8 +285,7 @@
     if (!m_context.edge.usesRoutes()) {
         return {};
     }
-    const auto host = findHeader(request.headers, "Host").value_or("");
-    const auto *route = m_context.config.findRoute(host.substr(0, host.find(':')), pathOf(request.target));
+    const auto *route = m_context.config.findRoute(hostOf(request.target, request.headers), pathOf(request.target));
     return route ? route->name : std::string();
 }
 
--- a/tests/io_platform_edge.cpp
+++ b/tests/io_platform_edge.cpp
@@ -102,6 +102,19 @@
     EXPECT_EQ(fields.root, edge().readEntry(parent).root);
 }
 
+// HTTP/1.1 has servers accept a target in absolute form; its authority takes the place of the Host header.
+TEST(SidecarEntry, AbsoluteTargetHasTheHostAndPathOfItsRoute)
+{
+    const HttpRequest request{.verb = "GET", .target = "http://A.Example:80/a/b?q=http://c/d", .headers = {{"Host", "other"}}};
+    EXPECT_EQ(edge().readEntry(request).host, "a.example");
+    EXPECT_EQ(pathOf(request.target), "/a/b");
+    EXPECT_EQ(pathOf("http://a.example"), "/");
+    EXPECT_EQ(pathOf("http://a.example?q"), "/");
+    EXPECT_EQ(pathOf("/a/b?q=http://c/d"), "/a/b");
+    EXPECT_EQ(pathOf("/a/http://c/d"), "/a/http://c/d");
+    EXPECT_EQ(pathOf("*"), "*");
+}
+
 TEST(SidecarEntry, InvalidTimeoutLeavesTheRouteTimeout)
 {
     for (const auto *text : {"", "-1", "1.5", "soon", "99999999999999999999"}) {
--- a/tests/io_platform_store.cpp
+++ b/tests/io_platform_store.cpp
@@ -178,6 +178,18 @@
     EXPECT_FALSE(parsed.findings.empty());
 }
 
+// Names of hosts have no case; a request's host is compared in lower case.
+TEST(SidecarStore, HostnameInCapitalsIsFoundByItsRequests)
+{
+    auto capitals = kConfig;
+    capitals.replace(capitals.find("h.example"), 9, "H.Example");
+    ScriptedStore store({{200, R"({"items":[)" + capitals + R"(],"hasMore":false,"at":12})"}});
+    const auto result = readObjects(*makeClient(store), ObjectKind::RouteTable);
+    ConfigSet set;
+    ASSERT_EQ(set.applyParsed(TimePoint(), parseObject(result.list.objects.at(0))), ApplyResult::InForce);
+    EXPECT_TRUE(set.findRoute("h.example", "/a/"));
+}
+
 // A version that can't be read would rank below each one in force, so the table would be ignored for good.
 TEST(SidecarStore, ConfigurationWithoutAReadableVersionIsRefused)
 {
