--- a/src/node/http/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -198,7 +198,9 @@
             if (m_parser->is_header_done() && !m_isBodyAdmitted && !admitBody()) {
                 break;
             }
-            if (!reserveUpTo(m_parser->get().body().size())) {
+            // The buffer of a body in chunks grows beyond what has arrived.
+            const auto &body = m_parser->get().body();
+            if (!body.empty() && !reserveUpTo(body.capacity())) {
                 break;
             }
             if (m_parser->is_done()) {
@@ -290,6 +292,7 @@
     {
         m_isLastRequestRead = true;
         m_parser.reset();
+        m_shared->budget.release(std::exchange(m_reservedBytes, 0));
         m_exchanges.push_back({.number = ++m_lastNumber, .keepAlive = false, .response = m_shared->handler.makeRefusalResponse(reason)});
         write();
     }
--- a/tests/io_http_listener.cpp
+++ b/tests/io_http_listener.cpp
@@ -375,6 +375,26 @@
     EXPECT_EQ(server.m_handler.m_begun, kRequests);
 }
 
+// The memory of a refused body must be free at once, also while earlier requests of its connection are still served.
+TEST(HttpListener, RefusedBodyReleasesItsMemory)
+{
+    constexpr std::uint64_t kBudget = 256 * 1024;
+    Server server(64, kBudget);
+    Client client(server.m_port);
+    std::string requests = "GET /hold HTTP/1.1\r\nHost: a\r\n\r\nPOST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::uint64_t n = 0; n <= kBudget; n += 16384) {
+        requests += "4000\r\n" + std::string(16384, 'c') + "\r\n";
+    }
+    client.send(requests);
+    waitFor(server.m_handler.m_begun, 1);
+    std::string answer;
+    for (int n = 0; n < 100 && !answer.starts_with("HTTP/1.1 200"); ++n) {
+        answer = callOnce(server.m_port, post(std::string(kBudget * 3 / 4, 'b')));
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200"));
+}
+
 // Forms of a request that HTTP/1.1 allows and few callers use.
 TEST(HttpListener, ProperRequestsOfRareFormAreNotAnsweredWithA4xx)
 {
