--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -52,7 +52,7 @@
 
     HttpResponse makeRefusalResponse(Reason reason) override
     {
-        // The header hasn't been read, so the request may be a retry under an idempotency key of one that has run. Routes have no keys:
+        // The request wasn't read to its end, so it may be a retry under an idempotency key of one that has run. Routes have no keys:
         // there, each attempt is a request of its own.
         const auto outcome = m_entry.m_context.edge.usesRoutes() ? Outcome::NotRun : Outcome::Unknown;
         return m_entry.refuseBeforeCall({.reason = reason, .outcome = outcome});
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,6 +20,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <limits>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -74,6 +75,17 @@
                                .maxConnections = settings.maxCallerConnections};
 }
 
+/// Returns the options of the callers' port. Where the operator limits bodies in the route table, only what can be buffered limits them
+/// until a table is known.
+HttpListenerOptions callerListenerOptions(const NodeSettings &settings, const EdgeDialect &edge)
+{
+    auto options = listenerOptions(settings, settings.listenCallers);
+    if (edge.usesRoutes()) {
+        options.limits.maxBodyBytes = std::numeric_limits<std::uint64_t>::max();
+    }
+    return options;
+}
+
 } // namespace
 
 /// Parts of a node, each declared after the parts that it depends on.
@@ -96,7 +108,7 @@
         , m_dispatcher(m_context)
         , m_keys(m_context)
         , m_entry(m_context)
-        , m_callerListener(m_io, listenerOptions(m_settings, m_settings.listenCallers), m_entry.handler(EntryRole::Callers), m_bufferBudget)
+        , m_callerListener(m_io, callerListenerOptions(m_settings, *m_dialects.edge), m_entry.handler(EntryRole::Callers), m_bufferBudget)
         , m_backendListener(m_io, listenerOptions(m_settings, m_settings.listenBackend), m_entry.handler(EntryRole::Backend),
                             m_bufferBudget)
         , m_readinessListener(m_io, listenerOptions(m_settings, m_settings.listenReadiness), m_entry.handler(EntryRole::Readiness),
