Configuration: log lines for pulls, calls to the store and the watcher's role

Nothing told why a node got a change late: from which peer it pulled, how long that took and how it ended, whether its own call to the store was slow or failed, or whether it watched at all. Each pull is now one line with peer, result, time and bytes, each list and each failed watch one line with its time, each change of the role one line.

--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -146,6 +146,8 @@
     /// Returns the peer to pull from now, if any; only one pull is open at a time. The driver must report the end of the pull by
     /// onPullAnswer() or onPullFailed().
     std::optional<NodeId> startPull(TimePoint now);
+    /// Returns whether a pull is open.
+    bool isPulling() const;
     ConfigPull makePull() const;
     ConfigPullAnswer answerPull(const ConfigPull &pull) const;
     void onPullAnswer(TimePoint now, NodeId peer, const ConfigPullAnswer &answer);
--- a/src/config/config_sync_peers.cpp
+++ b/src/config/config_sync_peers.cpp
@@ -134,6 +134,11 @@
     return std::nullopt;
 }
 
+bool ConfigSync::isPulling() const
+{
+    return m_pullPeer.has_value();
+}
+
 ConfigPull ConfigSync::makePull() const
 {
     return {m_set.versions()};
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -117,6 +117,7 @@
     beginStoreCalls(now);
     beginPull(now);
     recordStoreState();
+    recordWatcherRole();
 }
 
 void ConfigDriver::refreshMembers(TimePoint now)
@@ -151,8 +152,10 @@
 
 void ConfigDriver::beginList(const StoreCall &call)
 {
-    std::function<void(std::error_code, ParsedList)> handler = [this, kind = call.kind](std::error_code ec, const ParsedList &list) {
+    std::function<void(std::error_code, ParsedList)> handler = [this, call, startedAt = steadyNow(),
+                                                                kind = call.kind](std::error_code ec, const ParsedList &list) {
         const auto now = steadyNow();
+        recordStoreCall(startedAt, call, ec);
         if (ec) {
             m_sync.onListFailed(now, m_context.random, kind);
             return;
@@ -177,7 +180,8 @@
         m_sync.onWatchEvent(now, kind, event);
         publish(now);
     };
-    std::function<void(std::error_code)> onEnd = [this, kind = call.kind](std::error_code ec) {
+    std::function<void(std::error_code)> onEnd = [this, call, startedAt = steadyNow(), kind = call.kind](std::error_code ec) {
+        recordStoreCall(startedAt, call, ec);
         if (ec == StoreError::Expired) {
             writeLog(LogLevel::Info, "watch of the store can't be continued, listing again", {{"kind", std::string(rowOf(kind).name)}});
         }
@@ -192,8 +196,16 @@
 void ConfigDriver::beginPull(TimePoint now)
 {
     const auto peer = m_sync.startPull(now);
-    if (peer && !m_context.peers->sendFrame(*peer, encodeFrame(m_sync.makePull()))) {
+    if (m_openPull && (peer || !m_sync.isPulling())) {
+        recordPullEnd(now, "timeout");
+    }
+    if (!peer) {
+        return;
+    }
+    m_openPull = OpenPull{*peer, now};
+    if (!m_context.peers->sendFrame(*peer, encodeFrame(m_sync.makePull()))) {
         m_sync.onPullFailed(*peer);
+        recordPullEnd(now, "not-connected");
     }
 }
 
@@ -209,10 +221,19 @@
     const auto answer = decodePayload<ConfigPullAnswer>(payload);
     if (!answer) {
         m_sync.onPullFailed(from);
+        recordPullEnd(steadyNow(), "malformed", payload.size());
         return;
     }
     const auto now = steadyNow();
+    const auto emptyPulls = m_sync.counters().emptyPulls;
     m_sync.onPullAnswer(now, from, *answer);
+    if (!m_openPull || m_openPull->peer != from) {
+        writeLog(LogLevel::Info, "late answer to a configuration pull",
+                 {{"peer", memberName(from)}, {"bytes", std::to_string(payload.size())}});
+    } else {
+        const bool isEmpty = m_sync.counters().emptyPulls > emptyPulls;
+        recordPullEnd(now, answer->digest == 0 ? "not-configured" : isEmpty ? "nothing-new" : "answered", payload.size());
+    }
     publish(now);
     beginPull(now);
 }
@@ -313,6 +334,47 @@
              isDown ? "calls to the configuration store fail" : "calls to the configuration store succeed again");
 }
 
+void ConfigDriver::recordWatcherRole()
+{
+    if (m_sync.isWatcher() == m_isRecordedWatcher) {
+        return;
+    }
+    m_isRecordedWatcher = m_sync.isWatcher();
+    writeLog(LogLevel::Info, m_isRecordedWatcher ? "this node watches the configuration store" : "this node leaves the watch to others");
+}
+
+void ConfigDriver::recordStoreCall(TimePoint startedAt, const StoreCall &call, std::error_code ec)
+{
+    const bool isWatch = call.callKind == StoreCallKind::Watch;
+    if (isWatch && !ec) {
+        return;
+    }
+    writeLog(LogLevel::Info, "call to the configuration store ended",
+             {{"call", isWatch ? "watch" : "list"},
+              {"kind", std::string(rowOf(call.kind).name)},
+              {"elapsedMs", std::to_string(toMilliseconds(steadyNow() - startedAt))},
+              {"result", ec ? ec.message() : "done"}});
+}
+
+void ConfigDriver::recordPullEnd(TimePoint now, std::string_view result, std::size_t bytes)
+{
+    if (!m_openPull) {
+        return;
+    }
+    writeLog(LogLevel::Info, "configuration pull ended",
+             {{"peer", memberName(m_openPull->peer)},
+              {"result", std::string(result)},
+              {"elapsedMs", std::to_string(toMilliseconds(now - m_openPull->startedAt))},
+              {"bytes", std::to_string(bytes)}});
+    m_openPull.reset();
+}
+
+std::string ConfigDriver::memberName(NodeId node) const
+{
+    const auto *member = m_membership.membership().find(node);
+    return member ? member->info.name : std::string();
+}
+
 InForceCount ConfigDriver::countInForce(const ObjectKey &key, std::uint64_t version, std::uint64_t contentHash)
 {
     const auto *entry = m_sync.set().find(key.kind, key.name);
--- a/src/node/control/config_driver.h
+++ b/src/node/control/config_driver.h
@@ -41,6 +41,13 @@
     InForceCount countInForce(const ObjectKey &key, std::uint64_t version, std::uint64_t contentHash);
 
 private:
+    /// A pull that has neither been answered nor timed out.
+    struct OpenPull
+    {
+        NodeId peer;
+        TimePoint startedAt;
+    };
+
     void armTimer();
     void onTimer(TimePoint now);
     void refreshMembers(TimePoint now);
@@ -55,18 +62,26 @@
     void recordRefusedObjects();
     void recordIgnoredObjects();
     void recordStoreState();
+    void recordWatcherRole();
+    /// Logs how the open pull ended.
+    void recordPullEnd(TimePoint now, std::string_view result, std::size_t bytes = 0);
+    /// Logs a store call, unless it is a watch that ended as planned.
+    void recordStoreCall(TimePoint startedAt, const StoreCall &call, std::error_code ec);
+    std::string memberName(NodeId node) const;
 
     NodeContext &m_context;
     MembershipDriver &m_membership;
     StoreLink &m_store;
     ConfigSync m_sync;
     boost::asio::steady_timer m_timer;
+    std::optional<OpenPull> m_openPull;
     std::uint64_t m_publishedDigest = 0;
     std::uint64_t m_recordedChanges = 0;
     std::map<ObjectKey, StoreRevision> m_recordedRefusals;
     std::map<ObjectKey, VersionOrder> m_recordedIgnored;
     std::uint64_t m_recordedStoreEra = 0;
     bool m_isStoreDown = false;
+    bool m_isRecordedWatcher = false;
     bool m_isStopped = false;
 };
 
