Configuration: failing test of an object that takes longer to transfer than the pull timeout

A pull that hasn't been answered after 0.6 s is given up and the whole object asked of the next peer, while the first answer is still arriving. All answers share the node's link and processor, so each further pull slows the earlier ones down: an object of 800 KB that takes 4 s alone isn't in force on all of 10 nodes after 11 s.

The fleet of the test now moves answers at the rate of a link.

--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -36,12 +36,14 @@
     std::uint64_t era = 0;
 
     /// @param declared version that the author states; 0 for none
-    void put(const std::string &name, std::uint64_t budget, std::uint64_t declared = 0)
+    /// @param paddingBytes size of an annotation that makes the object large
+    void put(const std::string &name, std::uint64_t budget, std::uint64_t declared = 0, std::size_t paddingBytes = 0)
     {
         const auto version = log.size() + 1;
         const auto text = R"({"apiVersion":"chicoryspar.io/v1","kind":"RetryPolicy","metadata":{"name":")" + name
             + R"(","resourceVersion":")" + std::to_string(version) + R"(","generation":)" + std::to_string(version)
-            + R"(,"declaredVersion":)" + std::to_string(declared) + R"(},"spec":{"budget":)" + std::to_string(budget) + "}}";
+            + R"(,"declaredVersion":)" + std::to_string(declared) + R"(,"annotations":{"padding":")" + std::string(paddingBytes, 'x')
+            + R"("}},"spec":{"budget":)" + std::to_string(budget) + "}}";
         log.push_back(parseObject(text).object);
     }
 
@@ -87,6 +89,15 @@
     std::uint64_t steps = 0;
 };
 
+/// An answer to a pull on its way. All answers to one node share the bandwidth of its link.
+struct Transfer
+{
+    std::size_t to = 0;
+    NodeId from;
+    ConfigPullAnswer answer;
+    double bytesLeft = 0;
+};
+
 struct FleetNode
 {
     NodeId id;
@@ -107,6 +118,8 @@
     std::uint64_t seed = 1;
     /// See ConfigSyncOptions::lostObjectRetention.
     Duration lostObjectRetention = std::chrono::seconds(20);
+    /// Rate at which a node receives answers to its pulls; 0 for no limit.
+    double linkBytesPerSecond = 0;
 };
 
 /// The simulated nodes, store and network.
@@ -129,7 +142,7 @@
     /// Starts or restarts node @a n without any state.
     void startNode(std::size_t n)
     {
-        std::erase_if(m_calls, [n](const PendingCall &it) { return it.node == n; });
+        dropCallsOf(n);
         nodes[n].isUp = true;
         nodes[n].sentDigest = 0;
         nodes[n].nextProbe = now + Duration(static_cast<Duration::rep>(drawBelow(random, kProbePeriod.count())));
@@ -140,7 +153,7 @@
     void stopNode(std::size_t n)
     {
         nodes[n].isUp = false;
-        std::erase_if(m_calls, [n](const PendingCall &it) { return it.node == n; });
+        dropCallsOf(n);
     }
 
     /// Updates the membership at every node.
@@ -168,6 +181,7 @@
             }
         }
         finishCalls();
+        advanceTransfers();
     }
 
     void run(Duration duration)
@@ -268,12 +282,39 @@
             return;
         }
         const auto request = nodes[n].sync->makePull();
-        const auto answer = it->sync->answerPull(request);
+        Transfer transfer{.to = n, .from = peer, .answer = it->sync->answerPull(request)};
         pulledBytes += request.known.size() * sizeof(ObjectVersion);
-        for (const auto &text : answer.objects) {
-            pulledBytes += text.size();
+        for (const auto &text : transfer.answer.objects) {
+            transfer.bytesLeft += static_cast<double>(text.size());
+        }
+        pulledBytes += static_cast<std::uint64_t>(transfer.bytesLeft);
+        if (m_options.linkBytesPerSecond > 0) {
+            m_transfers.push_back(std::move(transfer));
+        } else {
+            nodes[n].sync->onPullAnswer(now, peer, transfer.answer);
+        }
+    }
+
+    void advanceTransfers()
+    {
+        std::map<std::size_t, double> transfersTo;
+        for (const auto &it : m_transfers) {
+            ++transfersTo[it.to];
+        }
+        const auto bytesPerStep = m_options.linkBytesPerSecond * static_cast<double>(kStep.count()) / 1e6;
+        for (auto &it : m_transfers) {
+            it.bytesLeft -= bytesPerStep / transfersTo[it.to];
+            if (it.bytesLeft <= 0) {
+                nodes[it.to].sync->onPullAnswer(now, it.from, it.answer);
+            }
         }
-        nodes[n].sync->onPullAnswer(now, peer, answer);
+        std::erase_if(m_transfers, [](const Transfer &it) { return it.bytesLeft <= 0; });
+    }
+
+    void dropCallsOf(std::size_t n)
+    {
+        std::erase_if(m_calls, [n](const PendingCall &it) { return it.node == n; });
+        std::erase_if(m_transfers, [n](const Transfer &it) { return it.to == n; });
     }
 
     void finishCalls()
@@ -358,6 +399,7 @@
 
     FleetOptions m_options;
     std::vector<PendingCall> m_calls;
+    std::vector<Transfer> m_transfers;
 };
 
 } // namespace chicoryspar::fleet
--- a/tests/test_config_sync.cpp
+++ b/tests/test_config_sync.cpp
@@ -160,6 +160,19 @@
     }
 }
 
+// Guards against pulls that are given up and begun again from another peer while their answers are still on the way.
+TEST(ConfigSync, ObjectThatTakesLongerThanThePullTimeoutIsInForceWithinTheBound)
+{
+    constexpr std::size_t kObjectBytes = 800'000;
+    Fleet fleet({.nodes = 10, .zones = 1, .linkBytesPerSecond = 200'000});
+    fleet.store.put("a", 1);
+    fleet.run(20s);
+    ASSERT_TRUE(fleet.isConverged());
+    fleet.store.put("a", 2, 0, kObjectBytes);
+    fleet.run(kMaxPropagationTime);
+    EXPECT_TRUE(fleet.isConverged());
+}
+
 // Guards against nodes that retry without backoff during an outage, and against all of them calling the store at once when it returns.
 TEST(ConfigSync, StoreOutageKeepsCallRateLowWithoutAThunderingHerdAfterwards)
 {
