Gate: calls that wait a second after the backend server left are refused as not run

Calls may wait at the gate until their deadline, several seconds for orders, and were dispatched then although the backend server had left meanwhile. The refused calls go to other upstreams.

--- a/src/node/gate/gate_backend.cpp
+++ b/src/node/gate/gate_backend.cpp
@@ -142,6 +142,7 @@
         recordReadinessChange(before);
         m_context.backendChanged.emitChange(now);
     }
+    refuseWaitingCalls(now);
     m_context.events.flushRefusals(now, m_context.tick());
 }
 
@@ -180,6 +181,11 @@
 void GateService::recordReadinessChange(BackendReadiness before)
 {
     const auto after = readiness();
+    if (m_announcement.readiness != BackendReadiness::Draining) {
+        m_leavingSince.reset();
+    } else if (!m_leavingSince) {
+        m_leavingSince = steadyNow();
+    }
     if (after == before) {
         return;
     }
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -15,6 +15,8 @@
 /// Percentage of a route's mean service time that is taken as the minimum: with less time left, a call can't be answered by its deadline.
 constexpr int kMinServiceTimePercent = 60;
 constexpr int kPercent = 100;
+/// A leaving backend server serves on for a short time; calls that still wait after this one are refused as not run.
+constexpr Duration kMaxWaitAfterLeave = std::chrono::seconds(1);
 /// Each answer moves the mean service time of its route by 1 / kServiceTimeSamples of the difference.
 constexpr int kServiceTimeSamples = 20;
 /// Maximum number of routes whose mean service times are kept.
@@ -147,6 +149,26 @@
     }
 }
 
+void GateService::refuseWaitingCalls(TimePoint now)
+{
+    if (!m_leavingSince || now - *m_leavingSince < kMaxWaitAfterLeave) {
+        return;
+    }
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[ticket, call] : m_calls) {
+        if (call.exchangeId == 0) {
+            waiting.push_back(ticket);
+        }
+    }
+    for (const auto ticket : waiting) {
+        // The handler of another call may have cancelled this one.
+        if (m_calls.contains(ticket)) {
+            m_gate.cancel(now, ticket);
+            endUndispatched(now, ticket, Reason::Draining, Duration{0});
+        }
+    }
+}
+
 void GateService::endUndispatched(TimePoint now, std::uint64_t ticket, Reason reason, Duration retryAfter)
 {
     logRefusal(now, m_calls.at(ticket), reason);
@@ -190,6 +212,9 @@
         // The backend server may have announced its leave during the pause.
         reason = Reason::NoUpstream;
     }
+    if (reason == Reason::None && m_leavingSince && now - *m_leavingSince >= kMaxWaitAfterLeave) {
+        reason = Reason::Draining;
+    }
     if (reason == Reason::None && call.request.dispatchBefore > 0 && wallNow().time_since_epoch().count() >= call.request.dispatchBefore) {
         reason = Reason::DeadlineExpired;
     }
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -86,7 +86,8 @@
     /// Applies the current OverloadPolicy and connection limit of the announced service.
     void applyPolicy(TimePoint now);
 
-    /// Periodic work: expires the last announcement when it is too old, and flushes the counted refusals to the events.
+    /// Periodic work: expires the last announcement when it is too old, refuses calls that have waited since the backend server left, and
+    /// flushes the counted refusals to the events.
     void checkAnnouncement(TimePoint now);
 
     /// Tells the gate that the process runs; to be called several times a second. After a pause, calls are refused as not run until the
@@ -129,6 +130,8 @@
     std::optional<Reason> refusalReason(const CallRequest &request) const;
     void dispatch(TimePoint now, std::uint64_t ticket);
     void logRefusal(TimePoint now, const Call &call, Reason reason) const;
+    /// Refuses the calls that still wait some time after the backend server stated that it leaves.
+    void refuseWaitingCalls(TimePoint now);
     void endUndispatched(TimePoint now, std::uint64_t ticket, Reason reason, Duration retryAfter);
     void onResult(std::uint64_t ticket, BackendResult result);
     void finish(std::uint64_t ticket, CallAnswer answer);
@@ -160,6 +163,8 @@
     /// Whether a call of this process was answered by the announced instance.
     bool m_hasAnswered = false;
     bool m_hasStatedLeave = false;
+    /// Since when the announced instance is leaving.
+    std::optional<TimePoint> m_leavingSince;
     std::optional<double> m_rateLimit;
     TimePoint m_rateLimitStatedAt{};
     /// Departed instances, latest last. A delayed announcement must not make one of them ready again.
--- a/tests/io_backend_signals.cpp
+++ b/tests/io_backend_signals.cpp
@@ -122,6 +122,7 @@
     void run(Duration duration)
     {
         gate->onTick(bootNow());
+        gate->checkAnnouncement(steadyNow());
         io.restart();
         io.run_for(duration);
     }
@@ -225,6 +226,33 @@
     EXPECT_EQ(gate->readiness(), BackendReadiness::Draining);
 }
 
+// Calls wait at the gate where the backend server limits its requests, and the wait may outlast the time for which it serves on.
+TEST_F(BackendSignals, WaitingCallsAreNotDispatchedLongAfterTheLeave)
+{
+    backend.signals = "Server-Limit: 2\r\n";
+    offer(20, 200ms);
+    answers.clear();
+    for (int n = 0; n < 8; ++n) {
+        auto request = makeRequest();
+        request.context.remaining = 4s;
+        request.context.requestClass = RequestClass::Order;
+        gate->beginCall(std::move(request), [this](CallAnswer answer) { answers.push_back(std::move(answer)); });
+    }
+    gate->applyDeparture(steadyNow(), "i");
+    for (int n = 0; n < 16; ++n) {
+        run(100ms);
+    }
+    backend.requestCount = 0;
+    for (int n = 0; n < 20; ++n) {
+        run(100ms);
+    }
+    EXPECT_EQ(backend.requestCount, 0U);
+    EXPECT_EQ(gate->callCount(), 0U);
+    ASSERT_GE(answers.size(), 8U);
+    EXPECT_EQ(answers.back().outcome, Outcome::NotRun);
+    EXPECT_EQ(answers.back().reason, Reason::Draining);
+}
+
 // An instance may start again under the identifier that it had.
 TEST_F(BackendSignals, WhatIsKnownOfAnEarlierStartIsIgnored)
 {
