Store answers and announcements: an odd entry of another writer hides no other entry and ends no process

It could happen here: with an entry nested 200,000 levels deep the process that reads the list, a watch, a single object or an announcement ended by stack overflow, because the JSON library copies and writes values by recursion; the limit on nesting was checked only after the stored object had been written back to text. A number like 1e999 or bytes that aren't UTF-8 made the parser reject the whole list. A contact with port 65536 was accepted.

Answers of the store are now split at their entries as text, without recursion, and each entry's metadata and spec are parsed by themselves, at most 32 levels deep. An entry whose spec can't be read is refused as an object instead of missing, since a missing one counts as deleted. Announcements are checked for nesting before they are parsed.

--- a/include/chicoryspar/core.h
+++ b/include/chicoryspar/core.h
@@ -278,6 +278,21 @@
 /// Sorts @a nodes by descending rendezvous weight for @a key, equal weights by ascending identifier.
 void sortByRank(std::vector<NodeId> &nodes, std::uint64_t key);
 
+// JSON text of other writers. These functions don't recurse and accept any bytes.
+
+/// Deepest nesting of arrays and objects that is read; JSON libraries recurse per level and could exhaust the stack.
+constexpr int kMaxJsonNesting = 32;
+
+/// Returns whether arrays and objects in @a json are nested more than @a maxDepth deep.
+bool exceedsNestingDepth(std::string_view json, int maxDepth = kMaxJsonNesting);
+
+/// Returns the text of the value under @a key in the JSON object @a object, without spaces around it; nothing if there is none. What
+/// the other values contain doesn't matter as long as their strings and brackets are complete.
+std::optional<std::string_view> findJsonMember(std::string_view object, std::string_view key);
+
+/// Returns the texts of the elements of the JSON array @a array; nothing if it isn't one.
+std::optional<std::vector<std::string_view>> splitJsonArray(std::string_view array);
+
 } // namespace chicoryspar
 
 template<>
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -10,35 +10,12 @@
 namespace chicoryspar {
 namespace {
 
-constexpr int kMaxNestingDepth = 32;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::string_view kTombstoneKey = "tombstone";
 constexpr std::string_view kStoreEraKey = "storeEra";
 constexpr std::string_view kDeclaredVersionKey = "declaredVersion";
 constexpr std::array<std::string_view, 6> kTopLevelKeys{"apiVersion", "kind", "metadata", "spec", "status", kTombstoneKey};
 
-/// Returns whether the nesting exceeds kMaxNestingDepth; the JSON library recurses per level and could exhaust the stack.
-bool exceedsMaxNestingDepth(std::string_view json)
-{
-    int depth = 0;
-    bool inString = false;
-    for (std::size_t n = 0; n < json.size(); ++n) {
-        const char c = json[n];
-        if (inString) {
-            n += c == '\\' ? 1 : 0;
-            inString = c != '"';
-            continue;
-        }
-        inString = c == '"';
-        depth += (c == '{' || c == '[') ? 1 : 0;
-        depth -= (c == '}' || c == ']') ? 1 : 0;
-        if (depth > kMaxNestingDepth) {
-            return true;
-        }
-    }
-    return false;
-}
-
 bool isNameCharacter(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.';
@@ -179,7 +156,7 @@
 ParsedObject parseObject(std::string_view json, std::optional<std::uint64_t> storeEra)
 {
     ParsedObject parsed;
-    if (json.size() > kMaxObjectBytes || exceedsMaxNestingDepth(json)) {
+    if (json.size() > kMaxObjectBytes || exceedsNestingDepth(json)) {
         parsed.findings.push_back({"object", "must be at most 2 MiB of JSON, nested at most 32 levels deep"});
         return parsed;
     }
--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -4,6 +4,7 @@
 #include "config/fields.h"
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 
 namespace chicoryspar {
@@ -290,8 +291,14 @@
 void checkSpec(const ContactSpec &spec, ObjectFindings &findings)
 {
     const auto colon = spec.address.rfind(':');
-    if (colon == std::string::npos || colon == 0 || colon + 1 == spec.address.size()) {
-        findings.addFault("spec.address", "must be address:port");
+    std::uint16_t port = 0;
+    if (colon != std::string::npos && colon > 0) {
+        const auto *end = spec.address.data() + spec.address.size();
+        const auto [at, ec] = std::from_chars(spec.address.data() + colon + 1, end, port);
+        port = ec == std::errc() && at == end ? port : 0;
+    }
+    if (port == 0) {
+        findings.addFault("spec.address", "must be address:port, with a port from 1 to 65535");
     }
 }
 
--- a/src/http/edge_native.cpp
+++ b/src/http/edge_native.cpp
@@ -46,9 +46,10 @@
 BackendNotice parseAnnouncement(std::string_view text)
 {
     BackendNotice notice;
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = exceedsNestingDepth(text) ? Json() : Json::parse(text, nullptr, false);
     if (!json.is_object()) {
-        notice.findings.push_back({"announcement", "expected a JSON object as the body"});
+        notice.findings.push_back(
+            {"announcement", "expected a JSON object as the body, nested at most " + std::to_string(kMaxJsonNesting) + " levels deep"});
         return notice;
     }
     auto &it = notice.announcement;
--- a/src/store/dialect_native.cpp
+++ b/src/store/dialect_native.cpp
@@ -147,32 +147,59 @@
     }
 }
 
+/// Returns a value of an answer; null when it can't be read or is nested too deeply.
+Json parseMember(std::string_view text, std::string_view key)
+{
+    const auto member = findJsonMember(text, key);
+    auto json = member && !exceedsNestingDepth(*member) ? Json::parse(*member, nullptr, false) : Json();
+    if (json.is_discarded()) {
+        json = nullptr;
+    }
+    return json;
+}
+
+/// Returns a listed object. One that can't be read as a whole keeps its kind and metadata, so that the product refuses it instead of taking
+/// it for deleted.
+std::string readableObject(std::string_view text)
+{
+    if (!exceedsNestingDepth(text) && Json::accept(text)) {
+        return std::string(text);
+    }
+    const Json object{{"apiVersion", parseMember(text, "apiVersion")},
+                      {"kind", parseMember(text, "kind")},
+                      {"metadata", parseMember(text, "metadata")},
+                      {"spec", Json()}};
+    return object.dump();
+}
+
 std::optional<ObjectPage> NativeStore::readPage(ObjectKind, const std::string &body) const
 {
-    const auto json = Json::parse(body, nullptr, false);
-    const auto version = versionOf(json);
-    if (!version || !json.contains("items") || !json["items"].is_array()) {
+    const auto version = versionOf(Json{{"metadata", parseMember(body, "metadata")}});
+    const auto list = findJsonMember(body, "items");
+    const auto items = list ? splitJsonArray(*list) : std::nullopt;
+    if (!version || !items) {
         return std::nullopt;
     }
     ObjectPage page{.list = {.version = *version}};
-    for (const auto &it : json["items"]) {
-        page.list.objects.push_back(it.dump());
+    for (const auto it : *items) {
+        page.list.objects.push_back(readableObject(it));
     }
     return page;
 }
 
 std::optional<std::vector<StoreEvent>> NativeStore::readEvents(ObjectKind, const std::string &text) const
 {
-    const auto json = Json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.contains("type") || !json["type"].is_string() || !json.contains("object")) {
+    const auto type = parseMember(text, "type");
+    const auto object = findJsonMember(text, "object");
+    if (!type.is_string() || !object) {
         return std::nullopt;
     }
-    const auto kind = findStoreEventKind(json["type"].get<std::string>());
-    const auto version = versionOf(json["object"]);
+    const auto kind = findStoreEventKind(type.get<std::string>());
+    const auto version = versionOf(Json{{"metadata", parseMember(*object, "metadata")}});
     if (!kind || (!version && *kind != StoreEventKind::Error)) {
         return std::nullopt;
     }
-    return std::vector<StoreEvent>{{*kind, version.value_or(0), json["object"].dump()}};
+    return std::vector<StoreEvent>{{*kind, version.value_or(0), readableObject(*object)}};
 }
 
 } // namespace
