Store answers: one that is cut short is malformed, whatever the order of its fields

Since the entries of an answer are split as text, a list whose bytes end early could have passed for a complete one if the revision came first; the objects after the cut would have counted as deleted. Strings and brackets must be complete now. The test cuts a list of either dialect at each position, with the revision first and last.

--- a/include/chicoryspar/core.h
+++ b/include/chicoryspar/core.h
@@ -286,8 +286,8 @@
 /// Returns whether arrays and objects in @a json are nested more than @a maxDepth deep.
 bool exceedsNestingDepth(std::string_view json, int maxDepth = kMaxJsonNesting);
 
-/// Returns the text of the value under @a key in the JSON object @a object, without spaces around it; nothing if there is none. What
-/// the other values contain doesn't matter as long as their strings and brackets are complete.
+/// Returns the text of the value under @a key in the JSON object @a object, without spaces around it; nothing if there is none or if a
+/// string or bracket of @a object is incomplete. Otherwise it doesn't matter what the other values contain.
 std::optional<std::string_view> findJsonMember(std::string_view object, std::string_view key);
 
 /// Returns the texts of the elements of the JSON array @a array; nothing if it isn't one.
--- a/src/core/json_text.cpp
+++ b/src/core/json_text.cpp
@@ -42,6 +42,30 @@
     return std::min(n + 1, text.size());
 }
 
+/// Returns whether all strings and brackets of @a text are complete.
+bool isComplete(std::string_view text)
+{
+    std::size_t depth = 0;
+    for (std::size_t n = 0; n < text.size();) {
+        const char c = text[n];
+        if (c == '"') {
+            const auto end = endOfString(text, n);
+            if (end - n < 2 || text[end - 1] != '"') {
+                return false;
+            }
+            n = end;
+            continue;
+        }
+        if (isClosing(c) && depth == 0) {
+            return false;
+        }
+        depth += isOpening(c) ? 1 : 0;
+        depth -= isClosing(c) ? 1 : 0;
+        ++n;
+    }
+    return depth == 0;
+}
+
 /// Returns the position of the comma or closing bracket that ends the value at @a begin.
 std::size_t endOfValue(std::string_view text, std::size_t begin)
 {
@@ -87,7 +111,7 @@
 {
     const auto text = trimmed(object);
     std::optional<std::string_view> found;
-    if (text.empty() || text.front() != '{') {
+    if (text.empty() || text.front() != '{' || !isComplete(text)) {
         return found;
     }
     for (std::size_t n = 1; n < text.size();) {
@@ -116,7 +140,7 @@
 std::optional<std::vector<std::string_view>> splitJsonArray(std::string_view array)
 {
     const auto text = trimmed(array);
-    if (text.size() < 2 || text.front() != '[') {
+    if (text.empty() || text.front() != '[' || !isComplete(text)) {
         return std::nullopt;
     }
     std::vector<std::string_view> elements;
--- a/tests/io_odd_entries.cpp
+++ b/tests/io_odd_entries.cpp
@@ -105,6 +105,23 @@
     }
 }
 
+// An incomplete list that counted as complete would show the objects after the cut as deleted.
+TEST(OddEntries, CutAnswerOfTheStoreIsMalformed)
+{
+    const auto items = "[" + makeContact("first", R"({"address":"10.1.0.8:7620"})") + "," + makeContact("last", R"({"a":"]}"})") + "]";
+    for (const auto &body : {R"({"items":)" + items + R"(,"hasMore":false,"at":9})", R"({"at":9,"hasMore":false,"items":)" + items + "}"}) {
+        EXPECT_TRUE(sidecarStoreDialect()->readPage(ObjectKind::Contact, body));
+        for (std::size_t n = 0; n < body.size(); ++n) {
+            EXPECT_FALSE(sidecarStoreDialect()->readPage(ObjectKind::Contact, body.substr(0, n))) << n;
+        }
+    }
+    const auto native = R"({"metadata":{"resourceVersion":"9"},"items":)" + items + "}";
+    EXPECT_TRUE(nativeStoreDialect()->readPage(ObjectKind::Contact, native));
+    for (std::size_t n = 0; n < native.size(); ++n) {
+        EXPECT_FALSE(nativeStoreDialect()->readPage(ObjectKind::Contact, native.substr(0, n))) << n;
+    }
+}
+
 TEST(OddEntries, SingleObjectIsNoCrash)
 {
     for (const auto &it : oddSpecs()) {
