Peer connections: a long frame is sent to its end while the peer takes its bytes

A connection with something outstanding was closed when no byte had arrived from the peer for 2 s. While one long frame is written, heartbeats wait behind it, so the peer has nothing to answer: a frame that takes longer, such as an answer of some megabytes over a narrow link, was broken off and all calls of the connection with it, however steadily the peer read.

The bytes that the socket takes of a write that lasts longer than a heartbeat interval now count as a sign of life. Short writes don't, as the socket takes them also for a peer that is gone.

--- a/src/node/peers/peer_connection.h
+++ b/src/node/peers/peer_connection.h
@@ -32,7 +32,8 @@
     Duration handshakeTimeout = std::chrono::seconds(2);
     /// Interval between timeout checks; a heartbeat is sent when nothing arrived for this long while something is outstanding.
     Duration heartbeatInterval = std::chrono::milliseconds(500);
-    /// The connection closes with Reason::ConnectionSilent when no byte arrives for this long while something is outstanding.
+    /// The connection closes with Reason::ConnectionSilent when no byte arrives for this long while something is outstanding, and the peer
+    /// takes no further bytes of a long write either.
     Duration silenceTimeout = std::chrono::milliseconds(2000);
     /// Time after which a connection with nothing outstanding closes.
     Duration idleTimeout = std::chrono::seconds(60);
@@ -95,6 +96,8 @@
     bool handleProof(const Frame &frame);
     void startTimer();
     void checkSilence();
+    /// Returns when the peer last showed that it works, by sending bytes or by taking those of a long write.
+    TimePoint lastSignOfLife() const;
     std::string sign(const std::string &nonce, const std::string &node) const;
 
     boost::asio::ip::tcp::socket m_socket;
@@ -115,6 +118,9 @@
     std::string m_peerNode;
     TimePoint m_startedAt{};
     TimePoint m_lastReceivedAt{};
+    /// Start of the write in progress, and when the socket last took bytes of it.
+    TimePoint m_writeStartedAt{};
+    TimePoint m_writeProgressAt{};
     TimePoint m_lastBusyAt{};
     TimePoint m_busySince{};
     TimePoint m_lastCheckAt{};
--- a/src/node/peers/peer_connection_asio.cpp
+++ b/src/node/peers/peer_connection_asio.cpp
@@ -126,14 +126,20 @@
         return;
     }
     m_isWriting = true;
-    asio::async_write(m_socket, asio::buffer(m_writeBuf), [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
-        self->m_isWriting = false;
-        if (ec) {
-            self->close(Reason::ConnectionLost);
-            return;
-        }
-        self->startWrite();
-    });
+    m_writeStartedAt = steadyNow();
+    const auto recordProgress = [self = shared_from_this()](boost::system::error_code ec, std::size_t written) {
+        self->m_writeProgressAt = steadyNow();
+        return ec ? 0 : self->m_writeBuf.size() - written;
+    };
+    asio::async_write(m_socket, asio::buffer(m_writeBuf), recordProgress,
+                      [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+                          self->m_isWriting = false;
+                          if (ec) {
+                              self->close(Reason::ConnectionLost);
+                              return;
+                          }
+                          self->startWrite();
+                      });
 }
 
 void PeerConnection::read()
@@ -231,6 +237,13 @@
     });
 }
 
+TimePoint PeerConnection::lastSignOfLife() const
+{
+    // The socket takes the bytes of a short write also when the peer is gone.
+    const bool isLongWrite = m_isWriting && m_writeProgressAt - m_writeStartedAt >= m_options.heartbeatInterval;
+    return isLongWrite ? std::max(m_lastReceivedAt, m_writeProgressAt) : m_lastReceivedAt;
+}
+
 void PeerConnection::checkSilence()
 {
     const auto now = steadyNow();
@@ -254,7 +267,7 @@
     } else {
         m_lastBusyAt = now;
     }
-    if (m_isOpen && isBusy && now - std::max(m_lastReceivedAt, m_busySince) > m_options.silenceTimeout) {
+    if (m_isOpen && isBusy && now - std::max(lastSignOfLife(), m_busySince) > m_options.silenceTimeout) {
         close(Reason::ConnectionSilent);
         return;
     }
--- a/tests/io_peer_connection.cpp
+++ b/tests/io_peer_connection.cpp
@@ -55,14 +55,19 @@
         m_acceptor.listen();
     }
 
-    void connect(const std::string &keyA, const std::string &keyB)
+    /// @param sendBufferBytes size of the send buffer of end A; 0 for the system's default
+    void connect(const std::string &keyA, const std::string &keyB, int sendBufferBytes = 0)
     {
         m_acceptor.async_accept(m_ioB, [this, keyB](boost::system::error_code ec, tcp::socket socket) {
             ASSERT_FALSE(ec);
             m_b.create(std::move(socket), "b", keyB);
             m_b.connection->beginAccepted();
         });
-        m_a.create(tcp::socket(m_ioA), "a", keyA);
+        tcp::socket socket(m_ioA, tcp::v4());
+        if (sendBufferBytes > 0) {
+            socket.set_option(tcp::socket::send_buffer_size(sendBufferBytes));
+        }
+        m_a.create(std::move(socket), "a", keyA);
         m_a.connection->beginConnect(m_acceptor.local_endpoint());
     }
 
@@ -200,6 +205,40 @@
     EXPECT_TRUE(m_a.payloads.empty());
 }
 
+// A frame that takes longer than the silence timeout to send: the peer reads steadily, but can answer no heartbeat before its end.
+TEST_F(PeerConnectionTest, LongFrameToASlowReaderIsSentToItsEnd)
+{
+    constexpr int kBufferBytes = 64 * 1024;
+    constexpr std::size_t kFrameBytes = 5 * 1024 * 1024;
+    m_acceptor.set_option(tcp::acceptor::receive_buffer_size(kBufferBytes));
+    connect(kKey, kKey, kBufferBytes);
+    ASSERT_TRUE(runUntilOpen());
+    const auto startedAt = std::chrono::steady_clock::now();
+    ASSERT_NE(m_a.connection->send(encodeFrame(CallAnswer{.id = 1, .body = std::string(kFrameBytes, 'x')})), 0U);
+    while (m_b.payloads.empty() && !m_a.closedFor && !m_b.closedFor && std::chrono::steady_clock::now() < startedAt + kWaitLimit) {
+        m_ioA.run_for(std::chrono::milliseconds(1));
+        m_ioA.restart();
+        m_ioB.poll_one();
+        m_ioB.restart();
+    }
+    EXPECT_GT(std::chrono::steady_clock::now() - startedAt, 2 * fastOptions().silenceTimeout);
+    EXPECT_EQ(m_b.payloads.size(), 1U);
+    EXPECT_FALSE(m_a.closedFor);
+}
+
+// A peer whose process hangs takes no more bytes once its buffers are full.
+TEST_F(PeerConnectionTest, LongFrameToAPeerThatStopsReadingIsGivenUp)
+{
+    constexpr int kBufferBytes = 64 * 1024;
+    constexpr std::size_t kFrameBytes = 5 * 1024 * 1024;
+    m_acceptor.set_option(tcp::acceptor::receive_buffer_size(kBufferBytes));
+    connect(kKey, kKey, kBufferBytes);
+    ASSERT_TRUE(runUntilOpen());
+    m_a.connection->send(encodeFrame(CallAnswer{.id = 1, .body = std::string(kFrameBytes, 'x')}));
+    EXPECT_TRUE(runUntil([this] { return m_a.closedFor.has_value(); }, false));
+    EXPECT_EQ(m_a.closedFor, Reason::ConnectionSilent);
+}
+
 TEST_F(PeerConnectionTest, SilenceTimeoutStartsWhenAnIdleConnectionAwaitsAnAnswer)
 {
     connect(kKey, kKey);
