Configuration: an incomplete later version doesn't keep an earlier one from being pulled

If the only peer with a later version was gone after it had sent a part of it, parts of the earlier version were dropped as outdated, and the peers' digest was then taken for useless: the node would have stayed where it was until another change. Only late parts, of a pull that has failed, are dropped for their order now. PullOfAnEarlierVersionReplacesAnIncompleteLaterOne failed before and passes.

--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -222,8 +222,9 @@
     void recordUselessDigest(std::uint64_t digest);
     bool isNeeded(const ObjectPart &part) const;
     /// Adds a part to the partial text, and applies the object once it is complete.
+    /// @param isLate the part belongs to a pull that has failed
     /// @returns false if the part can't be used because what precedes it is missing
-    bool receivePart(TimePoint now, const ObjectPart &part);
+    bool receivePart(TimePoint now, const ObjectPart &part, bool isLate);
 
     ConfigSyncOptions m_options;
     ConfigSet m_set;
--- a/src/config/config_sync_peers.cpp
+++ b/src/config/config_sync_peers.cpp
@@ -204,17 +204,17 @@
         return false;
     }
     const auto *known = m_set.findIncludingDeleted(part.kind, part.name);
-    const bool isNewer =
-        !known || (known->object->order() < part.version.order() && known->object->contentHash != part.version.contentHash);
-    // A late part of an earlier version must not replace what has arrived of a later one.
-    return isNewer && (!m_partialText || m_partialText->hash == part.textHash || m_partialText->order <= part.version.order());
+    return !known || (known->object->order() < part.version.order() && known->object->contentHash != part.version.contentHash);
 }
 
-bool ConfigSync::receivePart(TimePoint now, const ObjectPart &part)
+bool ConfigSync::receivePart(TimePoint now, const ObjectPart &part, bool isLate)
 {
     if (!isNeeded(part)) {
         return true;
     }
+    if (isLate && m_partialText && part.version.order() < m_partialText->order) {
+        return false;
+    }
     if (!m_partialText || m_partialText->hash != part.textHash) {
         if (part.offset > 0) {
             return false;
@@ -253,7 +253,7 @@
     const auto previousDigest = digest();
     adoptStoreEra(now, answer.storeEra);
     if (answer.part) {
-        pull.hasGap = !receivePart(now, *answer.part) || pull.hasGap;
+        pull.hasGap = !receivePart(now, *answer.part, isLate) || pull.hasGap;
     }
     for (const auto &it : answer.objects) {
         applyObject(now, parseObject(it));
--- a/src/node/gate/gate_signals.cpp
+++ b/src/node/gate/gate_signals.cpp
@@ -66,7 +66,7 @@
 
 std::optional<BackendState> GateService::backendState() const
 {
-    if (!m_rateLimit && !m_hasStatedLeave) {
+    if (m_announcement.instance.empty() || (!m_rateLimit && !m_hasStatedLeave)) {
         return std::nullopt;
     }
     return BackendState{.instance = m_announcement.instance,
--- a/tests/test_config_sync.cpp
+++ b/tests/test_config_sync.cpp
@@ -278,6 +278,25 @@
     EXPECT_TRUE(pair.to.isConfigured());
 }
 
+// The only peer with the later version may be gone.
+TEST(ConfigSync, PullOfAnEarlierVersionReplacesAnIncompleteLaterOne)
+{
+    PullPair pair;
+    pair.store.put("a", 2, 0, kLongTextBytes);
+    pair.list(pair.from);
+    ConfigSync goneSource{{.self = makeNodeId("gone")}, TimePoint(), pair.random};
+    pair.store.put("a", 3, 0, kLongTextBytes);
+    pair.list(goneSource);
+    pair.to.onPeerDigest(pair.otherSource, goneSource.digest());
+    ASSERT_EQ(pair.to.startPull(TimePoint(0s)), pair.otherSource);
+    pair.to.onPullAnswer(TimePoint(100ms), pair.otherSource, goneSource.answerPull(pair.to.makePull())[0]);
+    for (const auto &it : pair.pullFrom(pair.source, TimePoint(1s))) {
+        pair.to.onPullAnswer(TimePoint(1100ms), pair.source, it);
+    }
+    EXPECT_EQ(pair.budget(), 2U);
+    EXPECT_TRUE(pair.to.isConfigured());
+}
+
 // Guards a fleet in which some nodes don't accept parts yet.
 TEST(ConfigSync, PullWithoutPartsIsAnsweredByWholeTexts)
 {
