--- a/review/standins.py
+++ b/review/standins.py
@@ -148,6 +148,9 @@
             daemon_threads = True
             request_queue_size = 128
 
+            def handle_error(self, *_):
+                """Nodes may close a connection before they have read the answer."""
+
         host, port = address.rsplit(":", 1)
         self.server = Server((host, int(port)), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -522,6 +525,31 @@
             shutil.rmtree(self.directory, ignore_errors=True)
 
 
+class ReadinessChecks:
+    """Asks each node once a second whether it is ready. After two misses in a row the clients on its machine send no new work until it is
+    ready again, unless fewer than half of the nodes of its zone are in."""
+
+    def __init__(self, record, hosts):
+        self.record, self.hosts = record, hosts
+        self.misses = {it.name: 0 for it in hosts}
+        for it in hosts:
+            threading.Thread(target=self.run, args=(it,), daemon=True).start()
+
+    def run(self, host):
+        while True:
+            is_ready = host.is_ready()
+            misses = 0 if is_ready else self.misses[host.name] + 1
+            if misses == 2 or (is_ready and self.misses[host.name] >= 2):
+                self.record.write("readiness", node=host.name, ready=is_ready)
+            self.misses[host.name] = misses
+            time.sleep(1)
+
+    def may_send(self, host):
+        zone = [it for it in self.hosts if it.zone == host.zone]
+        count_in = sum(self.misses[it.name] < 2 for it in zone)
+        return self.misses[host.name] < 2 or 2 * count_in < len(zone)
+
+
 def run_case(directory, play):
     """Runs play(record, trouble) and exits with 1 if it returns that the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(Path(directory) / "record.txt")
