--- a/review/standins.py
+++ b/review/standins.py
@@ -525,6 +525,48 @@
             shutil.rmtree(self.directory, ignore_errors=True)
 
 
+class KeptClient:
+    """A client that sends one safe request after another on a kept connection."""
+
+    def __init__(self, record, name, address, hostname, prefix, is_done):
+        self.record, self.name, self.address, self.is_done = record, name, address, is_done
+        self.hostname, self.prefix = hostname, prefix
+        self.unanswered = []
+        self.answered = 0
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        number = 0
+        while not self.is_done.is_set():
+            try:
+                host, port = self.address.rsplit(":", 1)
+                with socket.create_connection((host, int(port)), 1) as connection:
+                    connection.settimeout(5)
+                    stream = connection.makefile("rb")
+                    on_connection = 0
+                    while not self.is_done.is_set():
+                        number, on_connection = number + 1, on_connection + 1
+                        identifier = f"{self.name}{number:012x}"
+                        connection.sendall((f"GET {self.prefix}{number} HTTP/1.1\r\nHost: {self.hostname}\r\nX-Request-Id: {identifier}\r\n"
+                                            "X-Deadline-Ms: 4000\r\n\r\n").encode())
+                        self.record.write("sent", id=identifier)
+                        try:
+                            line, headers = read_head(stream)
+                            if line is None:
+                                raise ConnectionError("closed")
+                            read_body(stream, headers)
+                        except OSError as error:
+                            at = self.record.write("closed-without-answer", id=identifier, onConnection=on_connection, reason=str(error))
+                            self.unanswered.append((identifier, at))
+                            raise
+                        self.answered += 1
+                        if headers.get("connection", "").lower() == "close":
+                            break
+            except OSError:
+                time.sleep(0.1)
+
+
 class ReadinessChecks:
     """Asks each node once a second whether it is ready. After two misses in a row the clients on its machine send no new work until it is
     ready again, unless fewer than half of the nodes of its zone are in."""
