--- a/review/standins.py
+++ b/review/standins.py
@@ -19,6 +19,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HEARTBEAT_S = 1.5
+# One answer of the store to a list: "about 500 or 1 MB at most".
+PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
 # Bounds of the sites granite-rows and smrs-valpo, as in the settings of their machines.
 BOUNDS = {
     "seedLag": "3s", "reuseAfter": "2s", "contact": "3000ms", "ack": "4000ms", "catchUp": "4s", "drain": "2500ms", "grace": "6s",
@@ -162,8 +164,7 @@
         with self.changed:
             objects = self.objects.setdefault(kind, {})
             if method == "GET" and not name:
-                return 200, {"items": [objects[it] for it in sorted(objects) if it > query.get("after", "")], "hasMore": False,
-                             "at": self.revision}
+                return 200, self.page([objects[it] for it in sorted(objects) if it > query.get("after", "")])
             if method == "GET":
                 return (200, objects[name]) if name in objects else (404, {})
             if method == "POST":
@@ -179,6 +180,16 @@
             part = "status" if parts[-1] == "status" and len(parts) > 2 else "spec"
             return 200, self.put(kind, name, part, body.get(part))
 
+    def page(self, items):
+        """Returns as many of the items as one answer holds, and whether there are more."""
+        page, size = [], 0
+        for it in items:
+            size += len(json.dumps(it))
+            if page and (len(page) == PAGE_ITEMS or size > PAGE_BYTES):
+                break
+            page.append(it)
+        return {"items": page, "hasMore": len(page) < len(items), "at": self.revision}
+
     def put(self, kind, name, part, value):
         objects = self.objects.setdefault(kind, {})
         old = objects.get(name)
