--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 from standins import CONFIG_S, CONTACT_S, Mesh, Upstream, make_config, make_route, request, run_case  # noqa: E402
 
 HOSTNAME = "hulo84.example"
-BEFORE_SILENCE_S = 0.3
+BEFORE_SILENCE_S = 0.6
 AFTER_SILENCE_S = 3.3
 WATCHED_S = 12.0
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import socket
 import subprocess
@@ -473,6 +474,8 @@
         if not (ROOT / self.command[0]).exists():
             raise CannotRun(f"{self.command[0]} is missing: run the build of the deploy file")
         self.directory = Path(tempfile.mkdtemp(prefix="review-"))
+        # A node that aborts leaves no core file in the repository.
+        resource.setrlimit(resource.RLIMIT_CORE, (0, resource.getrlimit(resource.RLIMIT_CORE)[1]))
         # An address range of its own for each run, so that runs side by side don't meet.
         self.net = f"127.{16 + os.getpid() // 250 % 200}.{1 + os.getpid() % 250}"
         self.ports = self.pick_ports(ports_needed, len(services) + 1)
