--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,7 +27,7 @@
     def send(self, it, status, headers, body=b""):
         if status == 200 and "X-Response-Signature" in headers and self.record.now() < self.spoils_until:
             self.answers += 1
-            if self.answers % SPOILED_ONE_IN == 1:
+            if self.answers % SPOILED_ONE_IN == 0:
                 self.spoiled += 1
                 self.record.write("spoiled-answer", upstream=self.instance, id=headers["X-Request-Id"])
                 head = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
@@ -96,7 +96,7 @@
             it.thread.join(6)
         sound = {run["id"] for it in upstreams[1:] for run in it.runs}
         lost = [identifier for it in clients for identifier, _ in it.unanswered if identifier in sound]
-        record.write("summary", answered=sum(it.answered for it in clients), spoiledAnswers=upstreams[0].spoiled, endsOfTheNode=ends,
+        record.write("summary", answered=sum(it.answered for it in clients), spoiledAnswers=upstreams[0].spoiled, answersOfTheUpstream=upstreams[0].answers, endsOfTheNode=ends,
                      passedOnAndClosedWithoutAnswer=len(lost))
         return len(lost) > 3
 
