--- a/src/node/http/http_listener.h
+++ b/src/node/http/http_listener.h
@@ -89,10 +89,12 @@
     /// Changes the limits. They apply to requests whose first byte arrives later, and to connections that become idle later.
     void setLimits(const CallerLimits &limits);
 
-    /// Closes each connection after its next answer. New connections are still accepted.
+    /// Closes each connection after the requests in progress, or after the next one if there is none. Requests behind those are discarded
+    /// unread. New connections are still accepted.
     void beginDrain();
 
-    /// Closes the port. Idle connections close at once, the others after the requests in progress.
+    /// Closes the port. Idle connections close at once, the others after the requests in progress. A request whose end arrives later is
+    /// refused with Reason::Stopping.
     void beginStop();
 
     /// Closes the port and every connection at once.
--- a/src/node/http/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -80,6 +80,16 @@
         refuse(Reason::TooManyConnections);
     }
 
+    /// Takes no further request behind those in progress. A connection whose answers are all on their way serves the next request, whose
+    /// answer can announce the close.
+    void beginDrain()
+    {
+        const std::size_t answersBeingWritten = m_isWriting ? 1 : 0;
+        if (m_exchanges.size() > answersBeingWritten) {
+            endRequests();
+        }
+    }
+
     void closeIfIdle()
     {
         if (m_exchanges.empty() && !m_parser) {
@@ -296,12 +306,18 @@
         }
     }
 
-    /// Answers a request that can't be read, and reads no further requests: the start of the next one is unknown.
-    void refuse(Reason reason)
+    /// Reads no further requests and drops the one that is being read; the last answer closes the connection.
+    void endRequests()
     {
         m_isLastRequestRead = true;
         m_parser.reset();
         m_shared->budget.release(std::exchange(m_reservedBytes, 0));
+    }
+
+    /// Answers a request that can't be read or isn't accepted, and reads no further requests: the start of the next one may be unknown.
+    void refuse(Reason reason)
+    {
+        endRequests();
         m_exchanges.push_back({.number = ++m_lastNumber, .keepAlive = false, .response = m_shared->handler.makeRefusalResponse(reason)});
         write();
     }
@@ -310,13 +326,19 @@
 
     void serve()
     {
+        if (m_shared->isStopping) {
+            // Too late to be sure of an answer before the process ends.
+            refuse(Reason::Stopping);
+            return;
+        }
         auto &exchange = m_exchanges.emplace_back();
         exchange.number = ++m_lastNumber;
         exchange.isHead = m_parser->get().method() == http::verb::head;
         exchange.isServing = true;
         exchange.keepAlive = m_parser->keep_alive();
         exchange.reservedBytes = std::exchange(m_reservedBytes, 0);
-        m_isLastRequestRead = !exchange.keepAlive;
+        // While draining, a caller that always has a request in progress would otherwise keep its connection until the process ends.
+        m_isLastRequestRead = !exchange.keepAlive || m_shared->isDraining;
         ++m_shared->requests;
         auto request = toRequest(m_parser->get());
         m_parser.reset();
@@ -365,12 +387,7 @@
             return;
         }
         auto &exchange = m_exchanges.front();
-        // Later requests of this connection that were already read must still be answered.
-        const bool mayClose = m_exchanges.size() == 1;
-        if (mayClose && (m_shared->isStopping || m_shared->isDraining)) {
-            m_isLastRequestRead = true;
-        }
-        const bool keepAlive = !(mayClose && m_isLastRequestRead);
+        const bool keepAlive = !(m_isLastRequestRead && m_exchanges.size() == 1);
         m_message = toMessage(std::move(*exchange.response), keepAlive, exchange.isHead);
         m_serializer.emplace(m_message);
         m_serializer->split(false);
@@ -516,10 +533,14 @@
 void HttpListener::beginDrain()
 {
     m_shared->isDraining = true;
+    for (const auto it : std::vector<Session *>(m_shared->sessions.begin(), m_shared->sessions.end())) {
+        it->beginDrain();
+    }
 }
 
 void HttpListener::beginStop()
 {
+    beginDrain();
     m_shared->isStopping = true;
     boost::system::error_code ec;
     m_acceptor.close(ec);
--- a/tests/io_http_listener.cpp
+++ b/tests/io_http_listener.cpp
@@ -100,16 +100,22 @@
         m_thread.join();
     }
 
-    void setLimits(const CallerLimits &limits)
+    /// Runs @a change on the listener's thread.
+    void apply(const std::function<void(HttpListener &)> &change)
     {
         std::promise<void> done;
         asio::post(m_io, [&] {
-            m_listener.setLimits(limits);
+            change(m_listener);
             done.set_value();
         });
         done.get_future().wait();
     }
 
+    void setLimits(const CallerLimits &limits)
+    {
+        apply([&](HttpListener &it) { it.setLimits(limits); });
+    }
+
     EchoHandler m_handler;
     std::uint16_t m_port = 0;
 
@@ -461,3 +467,51 @@
     EXPECT_TRUE(client.readAll().ends_with("three"));
     EXPECT_EQ(server.m_handler.m_begun, 3);
 }
+
+// A planned stop cut the requests of a caller that always had one in progress: its connection was drained only at a moment without one.
+TEST(HttpListener, DrainEndsAConnectionThatAlwaysHasARequestInProgress)
+{
+    Server server;
+    Client client(server.m_port);
+    client.send("GET /later HTTP/1.1\r\nHost: a\r\n\r\nGET /later HTTP/1.1\r\nHost: a\r\n\r\n");
+    waitFor(server.m_handler.m_begun, 2);
+    server.apply([](HttpListener &it) { it.beginDrain(); });
+    client.send("GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
+    callOnce(server.m_port, "GET /release HTTP/1.1\r\nHost: a\r\n\r\n");
+    const auto answers = client.readAll();
+    const auto second = answers.find("HTTP/1.1 200", 1);
+    ASSERT_NE(second, std::string::npos) << answers;
+    EXPECT_EQ(answers.substr(0, second).find("Connection: close"), std::string::npos);
+    EXPECT_NE(answers.find("Connection: close", second), std::string::npos);
+    EXPECT_EQ(answers.find("HTTP/1.1 200", second + 1), std::string::npos);
+    EXPECT_EQ(server.m_handler.m_begun, 3) << "two requests and the release";
+}
+
+TEST(HttpListener, DrainServesTheNextRequestOfAnIdleConnectionAndNoneBehindIt)
+{
+    Server server;
+    Client client(server.m_port);
+    client.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(client.readUntil("\r\n\r\n").find("Connection: close"), std::string::npos);
+    server.apply([](HttpListener &it) { it.beginDrain(); });
+    client.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    const auto answers = client.readAll();
+    EXPECT_NE(answers.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(answers.find("HTTP/1.1", 1), std::string::npos) << answers;
+    EXPECT_EQ(server.m_handler.m_begun, 2);
+}
+
+// Reported by other operators: a request that came late in the grace of a planned stop was passed on, and cut when the process ended.
+TEST(HttpListener, RequestWhoseEndArrivesAfterThePortClosedIsRefusedAsNotRun)
+{
+    Server server;
+    Client client(server.m_port);
+    client.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n");
+    EXPECT_TRUE(client.readUntil("\r\n\r\n").starts_with("HTTP/1.1 100"));
+    server.apply([](HttpListener &it) { it.beginStop(); });
+    client.send("body");
+    const auto answer = client.readAll();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("stopping"), std::string::npos) << answer;
+    EXPECT_EQ(server.m_handler.m_begun, 0);
+}
