Planned stop: its end follows from the time at which the platform kills the process

[stop] kill_after states that time; drain_ms counts where it isn't set.

Evidence: PlannedStopUsesTheTimeUntilThePlatformKillsTheProcess.

--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -76,8 +76,11 @@
     /// Limit on the events kept for the timeline, in bytes.
     std::uint64_t maxEventBytes = 1024 * 1024;
 
-    /// Maximum time that a planned stop waits for calls in flight.
+    /// Maximum time that a planned stop waits for calls in flight, if stopKillTime is 0.
     Duration drainTime = std::chrono::seconds(10);
+    /// Time after which the platform kills a process that it has asked to stop; 0 if it doesn't. The stop waits for calls in flight as long
+    /// as this allows; see maxDrainTime().
+    Duration stopKillTime{0};
     /// Time for which a planned stop still accepts requests of callers, until they have noticed the stop.
     Duration stopAcceptTime{0};
 
@@ -91,6 +94,9 @@
     std::string portsFile;
 };
 
+/// Returns how long a planned stop waits for calls in flight, so that the process ends before it is killed.
+Duration maxDrainTime(const NodeSettings &settings);
+
 /// Settings, and all findings of their validation.
 struct LoadedSettings
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -30,6 +30,8 @@
 namespace {
 
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(200);
+/// Time between the end of a planned stop and the time at which the platform kills the process.
+constexpr Duration kKillMargin = std::chrono::milliseconds(500);
 
 std::uint64_t makeRandomSeed()
 {
@@ -88,6 +90,12 @@
 
 } // namespace
 
+Duration maxDrainTime(const NodeSettings &settings)
+{
+    return settings.stopKillTime > Duration{0} ? std::max(Duration{0}, settings.stopKillTime - kLeaveTime - kKillMargin)
+                                               : settings.drainTime;
+}
+
 /// Parts of a node, each declared after the parts that it depends on.
 class Node::Parts
 {
@@ -243,7 +251,7 @@
     {
         const auto now = steadyNow();
         m_context.isStopping = true;
-        m_stopDeadline = now + m_settings.drainTime;
+        m_stopDeadline = now + maxDrainTime(m_settings);
         m_acceptDeadline = now + m_settings.stopAcceptTime;
         m_context.recordEvent(Event{.kind = EventKind::NodeStopping, .subject = m_settings.name});
         writeLog(LogLevel::Info, "planned stop begun");
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -303,6 +303,7 @@
            .duration = &NodeSettings::drainTime,
            .minValue = 0,
            .maxValue = kDayMs},
+    KeyRow{.section = "stop", .key = "kill_after", .store = storeDurationWithUnit, .duration = &NodeSettings::stopKillTime},
     KeyRow{.section = "stop",
            .key = "accept_ms",
            .store = storeMilliseconds,
--- /dev/null
+++ b/tests/io_settings.cpp
@@ -0,0 +1,37 @@
+/// @file
+/// Tests of settings from which several durations of a node follow.
+
+#include <chicoryspar/membership.h>
+#include <chicoryspar/node.h>
+
+#include <gtest/gtest.h>
+
+using namespace chicoryspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *kRequired = "[node]\nname = n\nregion = r\nzone = z\n";
+
+NodeSettings parse(const std::string &text)
+{
+    const auto loaded = parseNodeSettings(kRequired + text, "test");
+    EXPECT_TRUE(loaded.findings.empty()) << toString(loaded.findings);
+    return loaded.settings;
+}
+
+} // namespace
+
+// The drain had a fixed end: too early where the platform gives a process more time, too late where it gives less.
+TEST(Settings, PlannedStopUsesTheTimeUntilThePlatformKillsTheProcess)
+{
+    for (const auto &[text, killTime] : {std::pair{"4s", 4s}, std::pair{"6s", 6s}, std::pair{"10000ms", 10s}}) {
+        const auto settings = parse(std::string("[stop]\nkill_after = ") + text + "\n");
+        const auto end = maxDrainTime(settings) + kLeaveTime;
+        EXPECT_LT(end, killTime);
+        // A request that was sent early enough may be cut in the last sixth.
+        EXPECT_GE(end, killTime * 5 / 6);
+    }
+    EXPECT_EQ(maxDrainTime(parse("[stop]\nkill_after = 1s\n")), 0s);
+    EXPECT_EQ(maxDrainTime(parse("[stop]\ndrain_ms = 700\n")), 700ms);
+}
