--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -40,6 +40,8 @@
     std::uint64_t watchersPerZone = 2;
     /// Window over which nodes that start at the same time spread their first request to the store.
     Duration storeStartWindow = std::chrono::seconds(4);
+    /// Time within which a change of the configuration has to be in force, also where a connection to the store has gone silent.
+    Duration changeBound = std::chrono::seconds(11);
     /// Peer addresses "ip:port" through which the node joins.
     std::vector<std::string> seeds;
     /// Key shared by all nodes for authenticating peers, as raw bytes; empty for no authentication.
--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -16,14 +16,14 @@
     std::vector<ObjectKind> kinds;
     /// Number of members of each zone that watch the store; the others receive changes from peers.
     std::size_t watchersPerZone = 2;
-    /// Maximum duration of one watch call. It bounds how long a dead connection to the store goes unnoticed.
+    /// Maximum duration of one watch call. It bounds how long a dead connection to the store goes unnoticed; see storeTimeoutsFor().
     Duration watchDuration = std::chrono::seconds(6);
     /// The first store call after a start is delayed by a random time up to this; it is made earlier once other members are known.
     Duration startWindow = std::chrono::seconds(4);
     /// Exponential backoff after failed store calls, from minBackoff to maxBackoff; the delay is drawn from the upper half of it.
     Duration minBackoff = std::chrono::milliseconds(500);
     Duration maxBackoff = std::chrono::seconds(4);
-    /// Token bucket for the store calls of this node: rate and capacity.
+    /// Token bucket for the store calls of this node, apart from the watches that follow one another: rate and capacity.
     double storeCallsPerSecond = 1;
     double storeBurst = 12;
     /// Members list all objects again (an audit) about every auditPerMember times the number of members, but no more often than
@@ -75,12 +75,14 @@
     std::uint64_t storeEra = 0;
 };
 
-/// How a watch ended.
+/// How a call ended.
 enum class StoreCallEnd : std::uint8_t {
     /// The watch reached its duration.
     Done,
     /// The store has compacted the version to watch from; a new list is needed.
     Expired,
+    /// No answer came in time: the connection may be dead while the store serves others.
+    Silent,
     Failed,
     Count,
 };
@@ -140,7 +142,7 @@
     /// Processes a list. One from an earlier era counts as a failed call.
     /// @param at revision of the store that the list shows
     void onListed(TimePoint now, Random &random, ObjectKind kind, const StoreRevision &at, std::span<const ParsedObject> objects);
-    void onListFailed(TimePoint now, Random &random, ObjectKind kind);
+    void onListFailed(TimePoint now, Random &random, ObjectKind kind, StoreCallEnd end = StoreCallEnd::Failed);
     void onWatchEvent(TimePoint now, ObjectKind kind, const WatchEvent &event);
     void onWatchEnded(TimePoint now, Random &random, ObjectKind kind, StoreCallEnd end);
 
@@ -166,6 +168,7 @@
     {
         bool isListed = false;
         bool hasOpenCall = false;
+        TimePoint callStartedAt{};
         /// Version for the next watch: the highest one of a list or bookmark.
         std::uint64_t resumeVersion = 0;
         /// When the next list is due; until then a watcher watches.
@@ -215,6 +218,9 @@
     void recordFormerDigest(TimePoint now, std::uint64_t previous);
     void recordStoreSuccess();
     void recordStoreFailure(TimePoint now, Random &random);
+    /// Has the objects of a call without an answer listed at once over another connection. Calls that began before the first one was
+    /// noticed may be silent for the same cause; only one that began later shows that the store itself is silent.
+    void recordSilentCall(TimePoint now, Random &random, KindState &state);
     Duration drawAuditPeriod(Random &random) const;
     std::optional<StoreCall> nextCall(TimePoint now, ObjectKind kind, KindState &state);
     /// Returns whether a pull from a peer with @a digest would bring nothing new.
@@ -238,6 +244,8 @@
     TimePoint m_nextStoreCallAt{};
     Duration m_backoff{0};
     std::optional<TimePoint> m_storeDownSince;
+    /// When the first call without an answer was noticed; nothing once a call is answered.
+    std::optional<TimePoint> m_silentSince;
     double m_storeTokens = 0;
     TimePoint m_storeTokensUpdatedAt{};
     std::deque<PullCandidate> m_pullCandidates;
--- a/src/config/config_sync_store.cpp
+++ b/src/config/config_sync_store.cpp
@@ -43,8 +43,11 @@
 
 bool ConfigSync::takeStoreToken(TimePoint now)
 {
-    const double refill =
-        static_cast<double>((now - m_storeTokensUpdatedAt).count()) / kMicrosecondsPerSecond * m_options.storeCallsPerSecond;
+    const auto syncedKinds = static_cast<double>(std::count_if(
+        m_kinds.begin(), m_kinds.end(), [this](const KindState &it) { return isSynced(static_cast<ObjectKind>(&it - m_kinds.data())); }));
+    const double watchesPerSecond = kMicrosecondsPerSecond / static_cast<double>(m_options.watchDuration.count()) * syncedKinds;
+    const double refill = static_cast<double>((now - m_storeTokensUpdatedAt).count()) / kMicrosecondsPerSecond
+        * (m_options.storeCallsPerSecond + watchesPerSecond);
     m_storeTokens = std::min(m_options.storeBurst, m_storeTokens + refill);
     m_storeTokensUpdatedAt = now;
     if (m_storeTokens < 1) {
@@ -107,6 +110,7 @@
             continue;
         }
         m_kinds[n].hasOpenCall = true;
+        m_kinds[n].callStartedAt = now;
         calls.push_back(*call);
         auto &counter = call->callKind == StoreCallKind::List ? m_counters.listCalls : m_counters.watchCalls;
         ++counter;
@@ -121,6 +125,7 @@
 void ConfigSync::recordStoreSuccess()
 {
     m_storeDownSince.reset();
+    m_silentSince.reset();
     m_backoff = Duration::zero();
 }
 
@@ -134,6 +139,17 @@
     m_nextStoreCallAt = std::max(m_nextStoreCallAt, now + drawDuration(random, m_backoff / 2, m_backoff));
 }
 
+void ConfigSync::recordSilentCall(TimePoint now, Random &random, KindState &state)
+{
+    state.nextListAt = now;
+    if (m_storeDownSince || (m_silentSince && state.callStartedAt >= *m_silentSince)) {
+        recordStoreFailure(now, random);
+        return;
+    }
+    ++m_counters.failedCalls;
+    m_silentSince = m_silentSince.value_or(now);
+}
+
 void ConfigSync::adoptStoreEra(TimePoint now, std::uint64_t era)
 {
     if (era <= m_storeEra) {
@@ -222,10 +238,14 @@
     m_set.applyObject(now, makeTombstone(kind, event.object.name, VersionOrder{declared, {event.storeEra, event.version}}, change));
 }
 
-void ConfigSync::onListFailed(TimePoint now, Random &random, ObjectKind kind)
+void ConfigSync::onListFailed(TimePoint now, Random &random, ObjectKind kind, StoreCallEnd end)
 {
     kindState(kind).hasOpenCall = false;
-    recordStoreFailure(now, random);
+    if (end == StoreCallEnd::Silent) {
+        recordSilentCall(now, random, kindState(kind));
+    } else {
+        recordStoreFailure(now, random);
+    }
     if (!m_isWatcher) {
         // Only watchers probe a failed store; the other members retry at their next audit.
         for (auto &it : m_kinds) {
@@ -270,6 +290,9 @@
         state.isListed = false;
         state.nextListAt = now;
         break;
+    case StoreCallEnd::Silent:
+        recordSilentCall(now, random, state);
+        break;
     default:
         // The store may have returned from a copy meanwhile; a watch from a revision that was given out again would miss changes.
         state.nextListAt = now;
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -3,6 +3,7 @@
 
 #include "node/control/config_driver.h"
 
+#include "config/store_timeouts.h"
 #include "node/clock.h"
 #include "node/log.h"
 #include "node/peers/peer_set.h"
@@ -45,6 +46,9 @@
     if (!ec) {
         return StoreCallEnd::Done;
     }
+    if (ec == StoreError::TimedOut) {
+        return StoreCallEnd::Silent;
+    }
     return ec == StoreError::Expired ? StoreCallEnd::Expired : StoreCallEnd::Failed;
 }
 
@@ -69,6 +73,7 @@
                                .zone = context.settings.zone,
                                .kinds = std::move(kinds),
                                .watchersPerZone = context.settings.watchersPerZone,
+                               .watchDuration = storeTimeoutsFor(context.settings.changeBound).watchDuration,
                                .startWindow = context.settings.storeStartWindow},
              steadyNow(), context.random)
     , m_timer(context.io)
@@ -157,7 +162,7 @@
         const auto now = steadyNow();
         recordStoreCall(startedAt, call, ec);
         if (ec) {
-            m_sync.onListFailed(now, m_context.random, kind);
+            m_sync.onListFailed(now, m_context.random, kind, toCallEnd(ec));
             return;
         }
         if (list.at.era < m_sync.storeEra()) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 
 #include <chicoryspar/node.h>
 
+#include "config/store_timeouts.h"
 #include "node/clock.h"
 #include "node/context.h"
 #include "node/control/config_driver.h"
@@ -55,8 +56,14 @@
 
 std::unique_ptr<ObjectStore> createStore(const NodeSettings &settings, std::shared_ptr<const StoreDialect> dialect)
 {
-    return settings.platformAddress.empty() ? nullptr
-                                            : createStoreClient({.address = settings.platformAddress, .dialect = std::move(dialect)});
+    if (settings.platformAddress.empty()) {
+        return nullptr;
+    }
+    const auto timeouts = storeTimeoutsFor(settings.changeBound);
+    return createStoreClient({.address = settings.platformAddress,
+                              .callTimeout = timeouts.callTimeout,
+                              .watchGrace = timeouts.watchGrace,
+                              .dialect = std::move(dialect)});
 }
 
 /// Returns the address of the operator API that membership advertises to other nodes. A wildcard listening address is replaced by the host
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -221,6 +221,7 @@
            .duration = &NodeSettings::storeStartWindow,
            .minValue = 0,
            .maxValue = kDayMs},
+    KeyRow{.section = "platform", .key = "change_bound", .store = storeDurationWithUnit, .duration = &NodeSettings::changeBound},
     KeyRow{"seeds", "nodes", storeSeeds},
     KeyRow{"security", "fleet_key", storeFleetKey},
     KeyRow{.section = "security",
--- a/src/store/client_cpprest.cpp
+++ b/src/store/client_cpprest.cpp
@@ -212,7 +212,6 @@
     explicit StoreClient(StoreClientOptions options)
         : m_options(std::move(options))
         , m_uri("http://" + m_options.address)
-        , m_client(std::make_shared<http_client>(m_uri, makeConfig(m_options.callTimeout)))
         , m_bucket(m_options.callsPerSecond, m_options.burst)
     {
     }
@@ -320,8 +319,9 @@
         if (!call.body.empty()) {
             message.set_body(call.body, "application/json");
         }
-        // The library resends a request when a reused connection closes, which could run a write twice, so a write has its own connection.
-        const auto client = verb == methods::GET ? m_client : std::make_shared<http_client>(m_uri, makeConfig(m_options.callTimeout));
+        // Each call has its own connection. A reused one may have gone silent, or may close: then the library resends the request, which
+        // could run a write twice.
+        const auto client = std::make_shared<http_client>(m_uri, makeConfig(m_options.callTimeout));
         // The client must outlive its calls.
         client->request(message, m_cancelSource.get_token())
             .then([dialect = m_options.dialect](const http_response &response) {
@@ -344,7 +344,6 @@
 
     StoreClientOptions m_options;
     web::uri m_uri;
-    std::shared_ptr<http_client> m_client;
     TokenBucket m_bucket;
     pplx::cancellation_token_source m_cancelSource;
 };
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -5,6 +5,7 @@
 /// a benchmark.
 
 #include "config/config_sync.h"
+#include "config/store_timeouts.h"
 
 #include <algorithm>
 
@@ -87,6 +88,8 @@
     std::uint64_t sentVersion = 0;
     /// Watch only: simulation steps since the start.
     std::uint64_t steps = 0;
+    /// The connection of the call passes nothing more on.
+    bool isSilent = false;
 };
 
 /// The answers to one pull on their way. All answers to one node share the bandwidth of its link.
@@ -130,6 +133,7 @@
     Duration lostObjectRetention = std::chrono::seconds(20);
     /// Rate at which a node receives answers to its pulls; 0 for no limit.
     double linkBytesPerSecond = 0;
+    StoreTimeouts storeTimeouts{.watchDuration = ConfigSyncOptions().watchDuration};
 };
 
 /// The simulated nodes, store and network.
@@ -156,8 +160,11 @@
         nodes[n].isUp = true;
         nodes[n].sentDigest = 0;
         nodes[n].nextProbe = now + Duration(static_cast<Duration::rep>(drawBelow(random, kProbePeriod.count())));
-        nodes[n].sync = std::make_unique<ConfigSync>(
-            ConfigSyncOptions{.self = nodes[n].id, .zone = zoneName(n), .lostObjectRetention = m_options.lostObjectRetention}, now, random);
+        nodes[n].sync = std::make_unique<ConfigSync>(ConfigSyncOptions{.self = nodes[n].id,
+                                                                       .zone = zoneName(n),
+                                                                       .watchDuration = m_options.storeTimeouts.watchDuration,
+                                                                       .lostObjectRetention = m_options.lostObjectRetention},
+                                                     now, random);
     }
 
     void stopNode(std::size_t n)
@@ -201,6 +208,18 @@
         }
     }
 
+    /// Makes the open connections to the store silent for good. Later calls use new ones.
+    void silenceStoreConnections()
+    {
+        for (auto &it : m_calls) {
+            if (!it.isSilent) {
+                it.isSilent = true;
+                const bool isWatch = it.call.callKind == StoreCallKind::Watch;
+                it.end += isWatch ? m_options.storeTimeouts.watchGrace : m_options.storeTimeouts.callTimeout;
+            }
+        }
+    }
+
     /// Returns whether every running node has the store's current state in force.
     bool isConverged() const
     {
@@ -345,6 +364,17 @@
     bool finishCall(PendingCall &pending)
     {
         auto &sync = *nodes[pending.node].sync;
+        if (pending.isSilent) {
+            if (now < pending.end) {
+                return false;
+            }
+            if (pending.call.callKind == StoreCallKind::Watch) {
+                sync.onWatchEnded(now, random, pending.call.kind, StoreCallEnd::Silent);
+            } else {
+                sync.onListFailed(now, random, pending.call.kind, StoreCallEnd::Silent);
+            }
+            return true;
+        }
         const bool isUnreachable = store.faults.isDown || nodes[pending.node].partition != 0;
         if (pending.call.callKind == StoreCallKind::List) {
             if (now < pending.end) {
--- a/tests/test_config_sync.cpp
+++ b/tests/test_config_sync.cpp
@@ -538,3 +538,32 @@
     fleet.run(5s);
     EXPECT_TRUE(fleet.isConverged());
 }
+
+// Open connections to the store that went silent kept old routes in force for seconds: only the end of a long watch showed it. The node is
+// alone, so that no peer helps.
+RC_GTEST_PROP(ConfigSync, ChangeIsInForceWithinTheBoundAlthoughConnectionsToTheStoreAreSilent, ())
+{
+    const Duration bound = std::chrono::milliseconds(*rc::gen::inRange(2000, 12'000));
+    Fleet fleet({.nodes = 1, .zones = 1, .seed = *rc::gen::arbitrary<std::uint64_t>(), .storeTimeouts = storeTimeoutsFor(bound)});
+    fleet.store.put("a", 1);
+    fleet.run(20s);
+    fleet.store.put("a", 2);
+    fleet.run(kStep * *rc::gen::inRange(0, 400));
+    fleet.silenceStoreConnections();
+    fleet.run(kStep * *rc::gen::inRange(0, 200));
+    fleet.store.put("a", 3);
+    fleet.run(bound);
+    RC_ASSERT(fleet.isConverged());
+}
+
+// Guards against a bound so short that the timeouts derived from it leave no time for an answer.
+TEST(StoreTimeouts, FitIntoTheBoundAndLeaveTimeForAnswers)
+{
+    for (const Duration bound : {500ms, 1000ms, 2500ms, 3000ms, 11'000ms}) {
+        const auto it = storeTimeoutsFor(bound);
+        EXPECT_LT(it.watchDuration + it.watchGrace, bound);
+        EXPECT_LT(it.callTimeout, bound);
+        EXPECT_GE(it.watchGrace, bound / 20);
+        EXPECT_GT(it.watchDuration, it.watchGrace);
+    }
+}
