--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -204,31 +204,47 @@
         m_parser->skip(m_isHeadRequest);
         // An eager parser goes on after a stated length over the limit, and allocates that length.
         m_parser->eager(false);
-        m_isInTrailer = false;
-        m_trailerBytes = 0;
-        m_parser->on_chunk_header(m_onChunkHeader);
-        readSome();
+        parse();
     }
 
-    /// Reads a part of the response. The parser's limits cover the head and the body, and the capacity of the buffer each line; the lines
-    /// of a trailer are counted here.
     void readSome()
     {
         const auto onRead = [self = shared_from_this(), id = m_exchangeId](beast::error_code ec, std::size_t n) {
             if (self->m_exchangeId != id) {
                 return;
             }
-            self->m_trailerBytes += self->m_isInTrailer ? n : 0;
-            if (ec || self->m_trailerBytes > self->m_client->m_options.maxHeaderBytes) {
+            self->m_buf.commit(n);
+            if (ec == asio::error::eof && self->m_parser->got_some()) {
+                // Ends a body without a length; any other response is incomplete.
+                ec = {};
+                self->m_parser->put_eof(ec);
+            }
+            if (ec) {
                 self->reportStaleReset();
                 self->fail(Outcome::Unknown, Reason::BackendFailed);
-            } else if (self->m_parser->is_done()) {
-                self->receive();
             } else {
-                self->readSome();
+                self->parse();
             }
         };
-        http::async_read_some(m_stream, m_buf, *m_parser, onRead);
+        m_stream.async_read_some(m_buf.prepare(beast::read_size(m_buf, kBodyReadBytes)), onRead);
+    }
+
+    /// Parses what has arrived, then reads on until the response is complete. The parser's limits cover the head and the body; the lines of
+    /// chunks and the trailer, which the parser takes only as a whole, are limited by what the buffer may hold.
+    void parse()
+    {
+        beast::error_code ec;
+        while (m_buf.size() > 0 && !m_parser->is_done() && !ec) {
+            m_buf.consume(parseBytes(*m_parser, m_buf.data(), ec));
+        }
+        const bool isWaiting = !ec || ec == http::error::need_more;
+        if (!isWaiting || (!m_parser->is_done() && m_buf.size() > m_client->m_options.maxHeaderBytes)) {
+            fail(Outcome::Unknown, Reason::BackendFailed);
+        } else if (m_parser->is_done()) {
+            receive();
+        } else {
+            readSome();
+        }
     }
 
     void receive()
@@ -325,11 +341,6 @@
     beast::flat_buffer m_buf;
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::string_body>> m_parser;
-    /// Called by the parser for each chunk; the last one has no bytes, and a trailer follows.
-    std::function<void(std::uint64_t, beast::string_view, beast::error_code &)> m_onChunkHeader =
-        [this](std::uint64_t size, beast::string_view, beast::error_code &) { m_isInTrailer = size == 0; };
-    bool m_isInTrailer = false;
-    std::size_t m_trailerBytes = 0;
     Done m_done;
     std::uint64_t m_exchangeId = 0;
     bool m_isOpen = false;
--- a/src/node/http/http_listener_beast.cpp
+++ b/src/node/http/http_listener_beast.cpp
@@ -209,7 +209,7 @@
                 setTimeout(limits().headerTimeout);
             }
             beast::error_code ec;
-            m_buf.consume(m_parser->put(m_buf.data(), ec));
+            m_buf.consume(parseBytes(*m_parser, m_buf.data(), ec));
             if (ec && ec != http::error::need_more) {
                 refuseParseError(ec);
                 break;
@@ -225,6 +225,10 @@
             if (m_parser->is_done()) {
                 serve();
             } else if (ec == http::error::need_more) {
+                // The lines of chunks and the trailer, which the parser takes only as a whole.
+                if (m_buf.size() > limits().maxHeaderBytes) {
+                    refuse(Reason::HeaderTooLarge);
+                }
                 break;
             }
         }
--- a/tests/io_endless_answers.cpp
+++ b/tests/io_endless_answers.cpp
@@ -49,6 +49,7 @@
     Endless{"chunks", kChunkedHead, "5\r\nhello\r\n"},
     Endless{"trailer line", kChunkedHead + "0\r\nX-A: ", std::string(4096, 'x')},
     Endless{"trailer lines", kChunkedHead + "0\r\n", "X-A: b\r\n"},
+    Endless{"trailer line longer than a field can be", kChunkedHead + "0\r\nX-A: " + std::string(66'000, 'x') + "\r\n\r\n", ""},
     Endless{"body without a length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", std::string(4096, 'x')},
     Endless{"body of a huge length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", std::string(4096, 'x')},
 };
--- a/tests/io_http_listener.cpp
+++ b/tests/io_http_listener.cpp
@@ -515,3 +515,32 @@
     EXPECT_NE(answer.find("stopping"), std::string::npos) << answer;
     EXPECT_EQ(server.m_handler.m_begun, 0);
 }
+
+// The library throws for a field longer than it can store: such a request ended the process.
+TEST(HttpListener, FieldLongerThanTheLibraryStoresEndsOnlyItsConnection)
+{
+    constexpr std::uint64_t kHighLimit = 256 * 1024;
+    const std::string field = "X: " + std::string(66'000, 'f') + "\r\n";
+    Server server;
+    Client other(server.m_port);
+    server.setLimits({.maxBodyBytes = kMaxBody, .maxHeaderBytes = kHighLimit});
+    EXPECT_TRUE(callOnce(server.m_port, post("", field)).starts_with("HTTP/1.1 431"));
+    const std::string chunked = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+    EXPECT_TRUE(callOnce(server.m_port, chunked + field + "\r\n").starts_with("HTTP/1.1 431"));
+    EXPECT_EQ(server.m_handler.m_begun, 0);
+    other.send(post("still served"));
+    EXPECT_TRUE(other.readAll().ends_with("still served"));
+}
+
+// Only time limited the lines that a caller sends between the parts of a body.
+TEST(HttpListener, LinesWithoutEndInABodyAreRefused)
+{
+    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string start : {"4;name=", "0\r\nX-Sum: ", "000000"}) {
+        Server server;
+        Client client(server.m_port);
+        client.send(head + start + std::string(4 * kMaxHeader, '0'));
+        EXPECT_TRUE(client.readAll().starts_with("HTTP/1.1 431")) << start;
+        EXPECT_EQ(server.m_handler.m_begun, 0);
+    }
+}
