Gate: endless answers to many requests at once hold bounded memory

Other operators reported machines that ran out of memory because a faulty upstream sent bytes without end; requests of other clients ended with them.

Here one endless answer was limited, but not the sum: each exchange held a body up to 7 MiB, 36 of them more than the memory of a machine.

Now the unfinished bodies hold 32 MiB together at most; beyond it the largest is given up as unknown, so that sound answers go on.

Evidence: ManyAtOnceHoldBoundedMemoryAndLeaveSoundAnswersAlone failed on (49.7 MB held after 0.4 s) and passes.

--- a/src/node/gate/backend_client.h
+++ b/src/node/gate/backend_client.h
@@ -29,6 +29,8 @@
     std::uint32_t maxHeaderBytes = 64 * 1024;
     /// Largest accepted response body, in bytes.
     std::uint64_t maxBodyBytes = 7 * 1024 * 1024;
+    /// Limit on the memory that unfinished response bodies hold together, in bytes. Beyond it, the largest one is given up.
+    std::uint64_t maxTotalBodyBytes = 32 * 1024 * 1024;
     /// Idle time after which a connection is no longer reused. A Keep-Alive timeout in a response takes precedence.
     Duration idleTimeout = std::chrono::seconds(60);
     /// Returns the value that a response to a request with these headers has to echo. May be empty.
@@ -79,6 +81,8 @@
     void startPendingExchanges();
     void onIdle(const std::shared_ptr<Connection> &connection);
     void onClosed(const std::shared_ptr<Connection> &connection);
+    /// Accounts for a body whose memory has changed from @a before to @a after, in bytes.
+    void onBodyBytesChanged(std::size_t before, std::size_t after);
     /// Shortens the idle limit after the backend server has reset a reused connection that had been idle for @a idle.
     void onStaleReset(Duration idle);
     /// Returns the idle limit learned from recent stale connections, or Duration::max() when there were none.
@@ -89,6 +93,8 @@
     std::string m_address;
     std::size_t m_maxConnections = 0;
     std::uint64_t m_lastId = 0;
+    /// Memory that the unfinished response bodies hold.
+    std::size_t m_bodyBytes = 0;
     Duration m_learnedIdleLimit = Duration::max();
     std::chrono::steady_clock::time_point m_idleLimitLearnedAt;
     std::list<std::shared_ptr<Connection>> m_idle;
--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -82,6 +82,12 @@
         return m_address;
     }
 
+    /// Returns the memory that the unfinished body of a response holds.
+    std::size_t bodyBytes() const
+    {
+        return m_bodyBytes;
+    }
+
     void begin(PendingExchange exchange)
     {
         m_exchangeId = exchange.id;
@@ -119,6 +125,12 @@
         return std::chrono::steady_clock::now() - m_idleSince >= limit;
     }
 
+    /// Gives up a response that can't be held.
+    void endForMemory()
+    {
+        fail(Outcome::Unknown, Reason::BackendFailed);
+    }
+
     void cancel()
     {
         fail(m_isWriteStarted ? Outcome::Unknown : Outcome::NotRun, Reason::Cancelled);
@@ -204,6 +216,7 @@
         m_parser->skip(m_isHeadRequest);
         // An eager parser goes on after a stated length over the limit, and allocates that length.
         m_parser->eager(false);
+        setBodyBytes(0);
         parse();
     }
 
@@ -242,11 +255,20 @@
             fail(Outcome::Unknown, Reason::BackendFailed);
         } else if (m_parser->is_done()) {
             receive();
-        } else {
+        } else if (setBodyBytes(m_parser->get().body().capacity())) {
             readSome();
         }
     }
 
+    /// Records the memory that the body holds.
+    /// @returns false when the client ended this exchange because the unfinished bodies together hold too much
+    bool setBodyBytes(std::size_t bytes)
+    {
+        const auto id = m_exchangeId;
+        m_client->onBodyBytesChanged(std::exchange(m_bodyBytes, bytes), bytes);
+        return m_exchangeId == id;
+    }
+
     void receive()
     {
         const auto &message = m_parser->get();
@@ -317,6 +339,7 @@
     Done endExchange()
     {
         m_exchangeId = 0;
+        setBodyBytes(0);
         m_timer.cancel();
         return std::exchange(m_done, nullptr);
     }
@@ -341,6 +364,7 @@
     beast::flat_buffer m_buf;
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    std::size_t m_bodyBytes = 0;
     Done m_done;
     std::uint64_t m_exchangeId = 0;
     bool m_isOpen = false;
@@ -434,6 +458,21 @@
     }
 }
 
+void BackendClient::onBodyBytesChanged(std::size_t before, std::size_t after)
+{
+    m_bodyBytes = m_bodyBytes - before + after;
+    if (m_bodyBytes <= m_options.maxTotalBodyBytes) {
+        return;
+    }
+    // The largest one is the most likely not to end.
+    const auto largest =
+        std::max_element(m_busy.begin(), m_busy.end(), [](const auto &a, const auto &b) { return a->bodyBytes() < b->bodyBytes(); });
+    const auto connection = *largest;
+    writeLog(LogLevel::Warning, "unfinished responses of the backend server hold too much memory; the largest is given up",
+             {{"address", m_address}, {"bytes", std::to_string(connection->bodyBytes())}, {"bytesOfAll", std::to_string(m_bodyBytes)}});
+    connection->endForMemory();
+}
+
 void BackendClient::onStaleReset(Duration idle)
 {
     const auto limit =
--- a/tests/io_endless_answers.cpp
+++ b/tests/io_endless_answers.cpp
@@ -26,6 +26,11 @@
 constexpr std::uint64_t kMaxBodyBytes = 256 * 1024;
 /// Largest heap that one exchange may add: a body at its limit, which a string doubles while it grows, its head and read buffers.
 constexpr std::size_t kMaxHeldBytes = 3 * kMaxBodyBytes;
+/// Unfinished bodies of several exchanges at once.
+constexpr int kExchanges = 24;
+constexpr std::uint64_t kMaxTotalBodyBytes = 1024 * 1024;
+/// Buffers of one connection, on both sides.
+constexpr std::size_t kConnectionBytes = 192 * 1024;
 
 /// What a backend server sends, once and then again and again.
 struct Endless
@@ -188,3 +193,30 @@
 {
     check(20ms);
 }
+
+// Endless answers to many requests at once held a body at its limit each, more together than a node may use.
+TEST(EndlessAnswers, ManyAtOnceHoldBoundedMemoryAndLeaveSoundAnswersAlone)
+{
+    const Endless endless{"body without a length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", std::string(4096, 'x')};
+    asio::io_context io{1};
+    EndlessServer server(io, endless, 1ms);
+    BackendClient client(io, {.maxTotalBodyBytes = kMaxTotalBodyBytes});
+    client.setTarget(server.address(), kExchanges + 1);
+    int ended = 0;
+    std::optional<BackendResult> good;
+    const auto held = peakOf([&] {
+        for (int n = 0; n < kExchanges; ++n) {
+            client.send({.verb = "GET", .target = "/endless"}, 2 * kTimeLimit, [&](const BackendResult &result) {
+                EXPECT_EQ(result.outcome, Outcome::Unknown);
+                ++ended;
+            });
+        }
+        io.run_for(kTimeLimit);
+        client.send({.verb = "GET", .target = "/good"}, kTimeLimit, [&](BackendResult result) { good = std::move(result); });
+        io.run_for(2 * kTimeLimit + kTimerSlack);
+    });
+    EXPECT_EQ(ended, kExchanges);
+    EXPECT_LE(held, 2 * kMaxTotalBodyBytes + kExchanges * kConnectionBytes);
+    ASSERT_TRUE(good);
+    EXPECT_EQ(good->response.body, "ok");
+}
