Gate: idle connections are closed when one of them is found silent

Connections to a backend server that go silent together each lost a request, one after the other: a silent one shows only at the deadline of the request on it, and the others stayed in the pool.

Now an exchange on a reused connection that brings no byte until its deadline closes those that have been idle since before it began.

--- a/src/node/gate/backend_client.h
+++ b/src/node/gate/backend_client.h
@@ -83,6 +83,9 @@
     void onClosed(const std::shared_ptr<Connection> &connection);
     /// Accounts for a body whose memory has changed from @a before to @a after, in bytes.
     void onBodyBytesChanged(std::size_t before, std::size_t after);
+    /// Closes the connections that have been idle since before @a time: one that was in use since then has gone silent, and they may have
+    /// for the same cause.
+    void closeIdleSince(std::chrono::steady_clock::time_point time);
     /// Shortens the idle limit after the backend server has reset a reused connection that had been idle for @a idle.
     void onStaleReset(Duration idle);
     /// Returns the idle limit learned from recent stale connections, or Duration::max() when there were none.
--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -105,6 +105,9 @@
         m_timer.async_wait([weak = weak_from_this(), id = m_exchangeId](boost::system::error_code ec) {
             const auto self = weak.lock();
             if (!ec && self && self->m_exchangeId == id) {
+                if (self->m_isReused && !self->m_parser->got_some()) {
+                    self->m_client->closeIdleSince(self->m_startedAt);
+                }
                 self->fail(Outcome::Unknown, Reason::BackendSilent);
             }
         });
@@ -131,6 +134,11 @@
         fail(Outcome::Unknown, Reason::BackendFailed);
     }
 
+    std::chrono::steady_clock::time_point idleSince() const
+    {
+        return m_idleSince;
+    }
+
     void cancel()
     {
         fail(m_isWriteStarted ? Outcome::Unknown : Outcome::NotRun, Reason::Cancelled);
@@ -458,6 +466,17 @@
     }
 }
 
+void BackendClient::closeIdleSince(std::chrono::steady_clock::time_point time)
+{
+    m_idle.remove_if([time](const std::shared_ptr<Connection> &it) {
+        const bool isClosed = it->idleSince() < time;
+        if (isClosed) {
+            it->detach();
+        }
+        return isClosed;
+    });
+}
+
 void BackendClient::onBodyBytesChanged(std::size_t before, std::size_t after)
 {
     m_bodyBytes = m_bodyBytes - before + after;
--- a/tests/io_backend_client.cpp
+++ b/tests/io_backend_client.cpp
@@ -66,6 +66,10 @@
                                        return;
                                    }
                                    ++m_requests;
+                                   if (m_silentSince && idleSince < *m_silentSince) {
+                                       m_silentConnections.push_back(socket);
+                                       return;
+                                   }
                                    if (m_dropsAfterIdle && std::chrono::steady_clock::now() - idleSince > *m_dropsAfterIdle) {
                                        socket->close();
                                        return;
@@ -103,6 +107,9 @@
     int m_requests = 0;
     /// Idle time after which the backend server closes a connection when the next request arrives on it.
     std::optional<std::chrono::milliseconds> m_dropsAfterIdle;
+    /// Connections that were idle at this time stay open and pass nothing more on.
+    std::optional<std::chrono::steady_clock::time_point> m_silentSince;
+    std::vector<std::shared_ptr<tcp::socket>> m_silentConnections;
 };
 
 } // namespace
@@ -248,3 +255,23 @@
     }
     EXPECT_EQ(unknown, 1);
 }
+
+// Idle connections that had gone silent together each lost a request, one after the other.
+TEST_F(BackendClientTest, IdleConnectionsAreClosedWhenOneOfThemIsFoundSilent)
+{
+    constexpr int kConnections = 4;
+    int answers = 0;
+    m_answerBytes = makeAnswer("a", "own");
+    for (int n = 0; n < kConnections; ++n) {
+        m_client.send({.verb = "GET", .target = "/x", .headers = {{"X-Id", "a"}}}, 500ms, [&](const BackendResult &) { ++answers; });
+    }
+    while (answers < kConnections) {
+        m_io.run_one_for(2s);
+    }
+    m_io.run_for(20ms);
+    ASSERT_EQ(m_client.connectionCount(), static_cast<std::size_t>(kConnections));
+    m_silentSince = std::chrono::steady_clock::now();
+    EXPECT_EQ(send("a", {}, 200ms).reason, Reason::BackendSilent);
+    EXPECT_EQ(m_client.connectionCount(), 0U);
+    EXPECT_EQ(send("a").outcome, Outcome::Answer);
+}
