Peers: a silent connection is suspected within 0.6 s and gets another one beside it

Cause: a connection was used until 2 s had passed without a byte; idle ones were found silent only by the calls lost on them; and the reply to a pull of configuration went over another connection, on which nothing was owed, so that its silence never showed.

Now a heartbeat without an answer for 0.3 s makes a connection suspected: new frames take another one, calls in progress wait on, since the peer may be paused. One suspected connection has all others probed. Replies go over the connection of their request; a failed pull is repeated once.

--- a/src/config/config_sync.h
+++ b/src/config/config_sync.h
@@ -181,10 +181,12 @@
     {
         NodeId peer;
         std::uint64_t digest = 0;
+        /// A pull from this peer has failed: the connection may have been silent, and another one is tried.
+        bool isRepeated = false;
     };
     struct OpenPull
     {
-        NodeId peer;
+        PullCandidate candidate;
         /// When the pull fails unless another answer arrives.
         TimePoint deadline;
         /// An answer has changed the set.
--- a/src/config/config_sync_peers.cpp
+++ b/src/config/config_sync_peers.cpp
@@ -136,7 +136,7 @@
 std::optional<NodeId> ConfigSync::startPull(TimePoint now)
 {
     if (m_openPull && now >= m_openPull->deadline) {
-        onPullFailed(m_openPull->peer);
+        onPullFailed(m_openPull->candidate.peer);
     }
     if (m_openPull) {
         return std::nullopt;
@@ -148,7 +148,7 @@
         if (isUselessDigest(candidate.digest) && m_isConfigured) {
             continue;
         }
-        m_openPull = OpenPull{.peer = candidate.peer, .deadline = now + m_options.pullTimeout};
+        m_openPull = OpenPull{.candidate = candidate, .deadline = now + m_options.pullTimeout};
         ++m_counters.pulls;
         m_counters.resumedPulls += m_partialText ? 1 : 0;
         return candidate.peer;
@@ -242,8 +242,8 @@
 
 void ConfigSync::onPullAnswer(TimePoint now, NodeId peer, const ConfigPullAnswer &answer)
 {
-    OpenPull pull{.peer = peer};
-    const bool isLate = !m_openPull || m_openPull->peer != peer;
+    OpenPull pull{.candidate = {.peer = peer}};
+    const bool isLate = !m_openPull || m_openPull->candidate.peer != peer;
     if (!isLate) {
         pull = *std::exchange(m_openPull, std::nullopt);
     }
@@ -280,9 +280,15 @@
 
 void ConfigSync::onPullFailed(NodeId peer)
 {
-    if (m_openPull && m_openPull->peer == peer) {
-        m_openPull.reset();
-        ++m_counters.failedPulls;
+    if (!m_openPull || m_openPull->candidate.peer != peer) {
+        return;
+    }
+    auto candidate = m_openPull->candidate;
+    m_openPull.reset();
+    ++m_counters.failedPulls;
+    if (!candidate.isRepeated) {
+        candidate.isRepeated = true;
+        m_pullCandidates.push_front(candidate);
     }
 }
 
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -87,9 +87,11 @@
         m_sync.onPeerDigest(from, digest);
         beginPull(now);
     });
-    m_context.peers->setFrameHandler(FrameType::ConfigPull, [this](NodeId from, std::string_view payload) { onPull(from, payload); });
-    m_context.peers->setFrameHandler(FrameType::ConfigPullAnswer,
-                                     [this](NodeId from, std::string_view payload) { onPullAnswer(from, payload); });
+    m_context.peers->setFrameHandler(FrameType::ConfigPull,
+                                     [this](const PeerSet::FrameSource &from, std::string_view payload) { onPull(from, payload); });
+    m_context.peers->setFrameHandler(FrameType::ConfigPullAnswer, [this](const PeerSet::FrameSource &from, std::string_view payload) {
+        onPullAnswer(from.node, payload);
+    });
     refreshMembers(steadyNow());
     armTimer();
 }
@@ -203,22 +205,23 @@
     const auto peer = m_sync.startPull(now);
     if (m_openPull && (peer || !m_sync.isPulling())) {
         recordPullEnd(now, "timeout");
+        m_context.peers->probeAll();
     }
     if (!peer) {
         return;
     }
     m_openPull = OpenPull{*peer, now};
-    if (!m_context.peers->sendFrame(*peer, encodeFrame(m_sync.makePull()))) {
+    if (!m_context.peers->sendRequest(*peer, encodeFrame(m_sync.makePull()))) {
         m_sync.onPullFailed(*peer);
         recordPullEnd(now, "not-connected");
     }
 }
 
-void ConfigDriver::onPull(NodeId from, std::string_view payload)
+void ConfigDriver::onPull(const PeerSet::FrameSource &from, std::string_view payload)
 {
     if (const auto pull = decodePayload<ConfigPull>(payload)) {
         for (const auto &it : m_sync.answerPull(*pull)) {
-            m_context.peers->sendFrame(from, encodeFrame(it));
+            m_context.peers->sendReply(from, encodeFrame(it));
         }
     }
 }
--- a/src/node/control/config_driver.h
+++ b/src/node/control/config_driver.h
@@ -8,6 +8,7 @@
 #include "node/context.h"
 #include "node/control/store_link.h"
 #include "node/peers/membership_driver.h"
+#include "node/peers/peer_set.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -57,7 +58,7 @@
     void beginList(const StoreCall &call);
     void beginWatch(const StoreCall &call);
     void beginPull(TimePoint now);
-    void onPull(NodeId from, std::string_view payload);
+    void onPull(const PeerSet::FrameSource &from, std::string_view payload);
     void onPullAnswer(NodeId from, std::string_view payload);
     void publish(TimePoint now);
     void recordChanges();
--- a/src/node/keys/key_service.cpp
+++ b/src/node/keys/key_service.cpp
@@ -69,7 +69,8 @@
 
 void KeyService::start()
 {
-    m_context.peers->setFrameHandler(FrameType::KeyFrame, [this](NodeId from, std::string_view payload) { onFrame(from, payload); });
+    m_context.peers->setFrameHandler(FrameType::KeyFrame,
+                                     [this](const PeerSet::FrameSource &from, std::string_view payload) { onFrame(from.node, payload); });
     armTimer();
 }
 
--- a/src/node/peers/peer_connection.h
+++ b/src/node/peers/peer_connection.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,7 +32,9 @@
     Duration connectTimeout = std::chrono::seconds(1);
     Duration handshakeTimeout = std::chrono::seconds(2);
     /// Interval between timeout checks; a heartbeat is sent when nothing arrived for this long while something is outstanding.
-    Duration heartbeatInterval = std::chrono::milliseconds(500);
+    Duration heartbeatInterval = std::chrono::milliseconds(300);
+    /// The connection is suspected to be dead when a heartbeat has had no answer for this long.
+    Duration probeTimeout = std::chrono::milliseconds(300);
     /// The connection closes with Reason::ConnectionSilent when no byte arrives for this long while something is outstanding, and the peer
     /// takes no further bytes of a long write either.
     Duration silenceTimeout = std::chrono::milliseconds(2000);
@@ -55,6 +58,8 @@
         std::function<void(Reason)> onClosed;
         /// Returns whether a call on this connection has no answer yet.
         std::function<bool()> isAwaitingAnswer;
+        /// The connection has become suspected. May be empty.
+        std::function<void()> onSuspected;
     };
 
     PeerConnection(boost::asio::ip::tcp::socket socket, PeerIdentity identity, PeerConnectionOptions options, Callbacks callbacks);
@@ -76,6 +81,13 @@
     /// @returns false when it may have been sent, or was removed before
     bool withdraw(std::uint64_t number);
 
+    /// Sends a heartbeat at once, unless one is unanswered.
+    void probe();
+
+    /// Returns whether the connection may be dead: new frames are better sent over another one. The other node may as well be paused, so
+    /// calls in progress keep waiting until the silence timeout.
+    bool isSuspected(TimePoint now) const;
+
     void close(Reason reason);
     bool isOpen() const;
 
@@ -96,6 +108,8 @@
     bool handleProof(const Frame &frame);
     void startTimer();
     void checkSilence();
+    void recordSignOfLife(TimePoint now);
+    void sendHeartbeat(TimePoint now);
     /// Returns when the peer last showed that it works, by sending bytes or by taking those of a long write.
     TimePoint lastSignOfLife() const;
     std::string sign(const std::string &nonce, const std::string &node) const;
@@ -124,6 +138,9 @@
     TimePoint m_lastBusyAt{};
     TimePoint m_busySince{};
     TimePoint m_lastCheckAt{};
+    /// When the first heartbeat since the last received byte was sent.
+    std::optional<TimePoint> m_probedAt;
+    bool m_isSuspicionReported = false;
     bool m_isConnected = false;
     bool m_isOpen = false;
     bool m_isClosed = false;
--- a/src/node/peers/peer_connection_asio.cpp
+++ b/src/node/peers/peer_connection_asio.cpp
@@ -7,6 +7,7 @@
 #include "node/peers/signature.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -152,7 +153,7 @@
             self->close(Reason::ConnectionLost);
             return;
         }
-        self->m_lastReceivedAt = steadyNow();
+        self->recordSignOfLife(steadyNow());
         self->m_decoder.append({self->m_readBuf.data(), n});
         self->handleReceivedFrames();
         if (!self->m_isClosed) {
@@ -249,7 +250,7 @@
     const auto now = steadyNow();
     if (now - m_lastCheckAt > m_options.silenceTimeout) {
         // This process was paused: bytes that the peer sent meanwhile may still be unread in the socket.
-        m_lastReceivedAt = now;
+        recordSignOfLife(now);
     }
     m_lastCheckAt = now;
     if (!m_isConnected && now - m_startedAt > m_options.connectTimeout) {
@@ -275,12 +276,48 @@
         close(Reason::None);
         return;
     }
-    if (m_isOpen && isBusy && now - m_lastReceivedAt > m_options.heartbeatInterval) {
-        sendControlFrame(encodeFrame(Heartbeat{.sequence = ++m_heartbeatSequence}));
+    if (isSuspected(now)) {
+        if (!isBusy) {
+            close(Reason::ConnectionSilent);
+            return;
+        }
+        if (!std::exchange(m_isSuspicionReported, true) && m_callbacks.onSuspected) {
+            m_callbacks.onSuspected();
+        }
+    }
+    if (isBusy && now - m_lastReceivedAt > m_options.heartbeatInterval) {
+        sendHeartbeat(now);
     }
     startTimer();
 }
 
+void PeerConnection::recordSignOfLife(TimePoint now)
+{
+    m_lastReceivedAt = now;
+    m_probedAt.reset();
+    m_isSuspicionReported = false;
+}
+
+void PeerConnection::sendHeartbeat(TimePoint now)
+{
+    if (m_isOpen) {
+        m_probedAt = m_probedAt.value_or(now);
+        sendControlFrame(encodeFrame(Heartbeat{.sequence = ++m_heartbeatSequence}));
+    }
+}
+
+void PeerConnection::probe()
+{
+    if (!m_probedAt) {
+        sendHeartbeat(steadyNow());
+    }
+}
+
+bool PeerConnection::isSuspected(TimePoint now) const
+{
+    return m_isOpen && m_probedAt && now - std::max(*m_probedAt, lastSignOfLife()) > m_options.probeTimeout;
+}
+
 void PeerConnection::close(Reason reason)
 {
     if (m_isClosed) {
--- a/src/node/peers/peer_set.cpp
+++ b/src/node/peers/peer_set.cpp
@@ -134,7 +134,12 @@
 {
     const auto it = m_outgoing.find(node);
     if (it != m_outgoing.end()) {
-        return it->second;
+        if (!it->second->connection->isSuspected(steadyNow())) {
+            return it->second;
+        }
+        // Its calls in progress keep it until they end or it is retired as silent.
+        m_outgoing.erase(it);
+        probeAll();
     }
     const auto member = m_context.membership ? m_context.membership->find(node) : nullptr;
     const auto endpoint = member ? parseEndpoint(member->info.address) : std::nullopt;
@@ -149,14 +154,15 @@
             outgoing->connection->close(Reason::ConnectFailed);
         }
     };
-    callbacks.onFrame = [this, node](const Frame &frame) {
+    callbacks.onFrame = [this, node, outgoing](const Frame &frame) {
         if (frame.type == FrameType::CallAnswer) {
             onAnswer(frame.payload);
         } else {
-            dispatchFrame(node, frame);
+            dispatchFrame({node, outgoing->connection}, frame);
         }
     };
     callbacks.onClosed = [this, outgoing](Reason reason) { onOutgoingClosed(outgoing, reason); };
+    callbacks.onSuspected = [this] { probeAll(); };
     callbacks.isAwaitingAnswer = [outgoing] { return !outgoing->calls.empty(); };
     outgoing->connection = std::make_shared<PeerConnection>(tcp::socket(m_context.io), makeIdentity(), m_options, std::move(callbacks));
     m_outgoing[node] = outgoing;
@@ -171,7 +177,7 @@
     request.clock = m_context.tick().value;
     const auto outgoing = findOrConnect(node);
     const auto frame = outgoing ? outgoing->connection->send(encodeFrame(request)) : 0;
-    m_calls[id] = PendingCall{node, frame, std::move(handler)};
+    m_calls[id] = PendingCall{outgoing, frame, std::move(handler)};
     if (frame == 0) {
         asio::post(m_context.io, [this, id] { failCall(id, Outcome::NotRun, Reason::ConnectFailed); });
         return id;
@@ -186,28 +192,32 @@
     if (it == m_calls.end()) {
         return;
     }
-    const auto outgoing = m_outgoing.find(it->second.node);
-    if (outgoing == m_outgoing.end() || outgoing->second->connection->withdraw(it->second.frameNumber)) {
+    const auto &call = it->second;
+    if (!call.outgoing || call.outgoing->connection->withdraw(call.frameNumber)) {
         failCall(id, Outcome::NotRun, Reason::Cancelled);
         return;
     }
-    outgoing->second->connection->send(encodeFrame(CallCancel{.id = id}));
+    call.outgoing->connection->send(encodeFrame(CallCancel{.id = id}));
     failCall(id, Outcome::Unknown, Reason::Cancelled);
 }
 
-void PeerSet::failCall(std::uint64_t id, Outcome outcome, Reason reason)
+PeerSet::PendingCall PeerSet::takeCall(std::uint64_t id)
 {
     const auto it = m_calls.find(id);
-    if (it == m_calls.end()) {
-        return;
-    }
     auto call = std::move(it->second);
     m_calls.erase(it);
-    const auto outgoing = m_outgoing.find(call.node);
-    if (outgoing != m_outgoing.end()) {
-        outgoing->second->calls.erase(id);
+    if (call.outgoing) {
+        call.outgoing->calls.erase(id);
+    }
+    return call;
+}
+
+void PeerSet::failCall(std::uint64_t id, Outcome outcome, Reason reason)
+{
+    if (m_calls.contains(id)) {
+        const auto call = takeCall(id);
+        call.handler(makeFailureAnswer(m_context.settings.name, id, outcome, reason));
     }
-    call.handler(makeFailureAnswer(m_context.settings.name, id, outcome, reason));
 }
 
 void PeerSet::onAnswer(std::string_view payload)
@@ -217,18 +227,11 @@
         return;
     }
     m_context.observeClock(answer->clock);
-    const auto it = m_calls.find(answer->id);
-    if (it == m_calls.end()) {
-        // A late or duplicate answer: the call has already ended.
-        return;
-    }
-    auto call = std::move(it->second);
-    m_calls.erase(it);
-    const auto outgoing = m_outgoing.find(call.node);
-    if (outgoing != m_outgoing.end()) {
-        outgoing->second->calls.erase(answer->id);
+    // A late or duplicate answer belongs to a call that has already ended.
+    if (m_calls.contains(answer->id)) {
+        const auto call = takeCall(answer->id);
+        call.handler(std::move(*answer));
     }
-    call.handler(std::move(*answer));
 }
 
 void PeerSet::onOutgoingClosed(const std::shared_ptr<OutgoingConnection> &outgoing, Reason reason)
@@ -257,6 +260,28 @@
     return outgoing && outgoing->connection->send(std::move(frame)) != 0;
 }
 
+bool PeerSet::sendRequest(NodeId node, std::string frame)
+{
+    const auto outgoing = findOrConnect(node);
+    if (!outgoing || outgoing->connection->send(std::move(frame)) == 0) {
+        return false;
+    }
+    outgoing->connection->probe();
+    return true;
+}
+
+bool PeerSet::sendReply(const FrameSource &to, std::string frame)
+{
+    return to.connection->send(std::move(frame)) != 0;
+}
+
+void PeerSet::probeAll()
+{
+    for (const auto &[node, it] : m_outgoing) {
+        it->connection->probe();
+    }
+}
+
 void PeerSet::setFrameHandler(FrameType type, FrameHandler handler)
 {
     m_frameHandlers.at(static_cast<std::size_t>(type)) = std::move(handler);
@@ -275,11 +300,11 @@
     } else if (frame.type == FrameType::CallCancel) {
         onCallCancel(incoming, frame.payload);
     } else {
-        dispatchFrame(incoming->node, frame);
+        dispatchFrame({incoming->node, incoming->connection}, frame);
     }
 }
 
-void PeerSet::dispatchFrame(NodeId from, const Frame &frame)
+void PeerSet::dispatchFrame(const FrameSource &from, const Frame &frame)
 {
     const auto &handler = m_frameHandlers.at(static_cast<std::size_t>(frame.type));
     if (handler) {
--- a/src/node/peers/peer_set.h
+++ b/src/node/peers/peer_set.h
@@ -15,8 +15,14 @@
 class PeerSet
 {
 public:
-    /// Handles a frame of another component, received from an authenticated node.
-    using FrameHandler = std::function<void(NodeId from, std::string_view payload)>;
+    /// Origin of a frame: an authenticated node, and the connection over which the frame came.
+    struct FrameSource
+    {
+        NodeId node;
+        std::shared_ptr<PeerConnection> connection;
+    };
+    /// Handles a frame of another component.
+    using FrameHandler = std::function<void(const FrameSource &from, std::string_view payload)>;
     /// Handles a call received from another node; the returned id is passed to CancelHandler.
     using CallHandler = std::function<std::uint64_t(CallRequest, AnswerHandler)>;
     using CancelHandler = std::function<void(std::uint64_t)>;
@@ -44,6 +50,16 @@
     /// @returns false when the address of @a node is unknown or the send queue is full
     bool sendFrame(NodeId node, std::string frame);
 
+    /// Sends a frame of another component that expects a reply, and a heartbeat, so that a silent connection is suspected soon.
+    /// @returns as sendFrame()
+    bool sendRequest(NodeId node, std::string frame);
+
+    /// Sends a frame over the connection of the frame that it answers. Another one may be silent without a sign of it.
+    bool sendReply(const FrameSource &to, std::string frame);
+
+    /// Sends a heartbeat over every outgoing connection. After one has been found silent, others may be for the same cause.
+    void probeAll();
+
     void setFrameHandler(FrameType type, FrameHandler handler);
     void setCallHandler(CallHandler begin, CancelHandler cancel);
 
@@ -56,7 +72,8 @@
     struct IncomingConnection;
     struct PendingCall
     {
-        NodeId node;
+        /// Null when no connection could be opened.
+        std::shared_ptr<OutgoingConnection> outgoing;
         std::uint64_t frameNumber = 0;
         AnswerHandler handler;
     };
@@ -72,7 +89,9 @@
     void onCallRequest(const std::shared_ptr<IncomingConnection> &incoming, std::string_view payload);
     void onCallCancel(const std::shared_ptr<IncomingConnection> &incoming, std::string_view payload);
     void onIncomingClosed(const std::shared_ptr<IncomingConnection> &incoming, Reason reason);
-    void dispatchFrame(NodeId from, const Frame &frame);
+    void dispatchFrame(const FrameSource &from, const Frame &frame);
+    /// Removes a call from the calls in progress.
+    PendingCall takeCall(std::uint64_t id);
     void failCall(std::uint64_t id, Outcome outcome, Reason reason);
     void recordRetiredConnection(NodeId node, Reason reason);
 
