Peers: a slow reader's idle connection isn't taken for a silent one

Callers would have lost a long answer to a node that reads slowly.

Cause: a heartbeat that waits behind a long write counted as sent when it was queued, so at the end of the write an idle connection was suspected at once, and suspected idle connections were closed.

Now the time counts from when the heartbeat is handed to the socket, and an idle connection closes only after the silence timeout; until then new frames take another one.

--- a/src/node/peers/peer_connection.h
+++ b/src/node/peers/peer_connection.h
@@ -109,7 +109,7 @@
     void startTimer();
     void checkSilence();
     void recordSignOfLife(TimePoint now);
-    void sendHeartbeat(TimePoint now);
+    void sendHeartbeat();
     /// Returns when the peer last showed that it works, by sending bytes or by taking those of a long write.
     TimePoint lastSignOfLife() const;
     std::string sign(const std::string &nonce, const std::string &node) const;
@@ -138,8 +138,9 @@
     TimePoint m_lastBusyAt{};
     TimePoint m_busySince{};
     TimePoint m_lastCheckAt{};
-    /// When the first heartbeat since the last received byte was sent.
+    /// When the first heartbeat since the last received byte was handed to the socket.
     std::optional<TimePoint> m_probedAt;
+    bool m_isHeartbeatQueued = false;
     bool m_isSuspicionReported = false;
     bool m_isConnected = false;
     bool m_isOpen = false;
--- a/src/node/peers/peer_connection_asio.cpp
+++ b/src/node/peers/peer_connection_asio.cpp
@@ -128,6 +128,10 @@
     }
     m_isWriting = true;
     m_writeStartedAt = steadyNow();
+    if (std::exchange(m_isHeartbeatQueued, false)) {
+        // Counts from here: the heartbeat may have waited for the end of a long write.
+        m_probedAt = m_probedAt.value_or(m_writeStartedAt);
+    }
     const auto recordProgress = [self = shared_from_this()](boost::system::error_code ec, std::size_t written) {
         self->m_writeProgressAt = steadyNow();
         return ec ? 0 : self->m_writeBuf.size() - written;
@@ -276,17 +280,15 @@
         close(Reason::None);
         return;
     }
-    if (isSuspected(now)) {
-        if (!isBusy) {
-            close(Reason::ConnectionSilent);
-            return;
-        }
-        if (!std::exchange(m_isSuspicionReported, true) && m_callbacks.onSuspected) {
-            m_callbacks.onSuspected();
-        }
+    if (m_probedAt && now - std::max(*m_probedAt, lastSignOfLife()) > m_options.silenceTimeout) {
+        close(Reason::ConnectionSilent);
+        return;
+    }
+    if (isSuspected(now) && !std::exchange(m_isSuspicionReported, true) && m_callbacks.onSuspected) {
+        m_callbacks.onSuspected();
     }
     if (isBusy && now - m_lastReceivedAt > m_options.heartbeatInterval) {
-        sendHeartbeat(now);
+        sendHeartbeat();
     }
     startTimer();
 }
@@ -298,18 +300,18 @@
     m_isSuspicionReported = false;
 }
 
-void PeerConnection::sendHeartbeat(TimePoint now)
+void PeerConnection::sendHeartbeat()
 {
     if (m_isOpen) {
-        m_probedAt = m_probedAt.value_or(now);
+        m_isHeartbeatQueued = true;
         sendControlFrame(encodeFrame(Heartbeat{.sequence = ++m_heartbeatSequence}));
     }
 }
 
 void PeerConnection::probe()
 {
-    if (!m_probedAt) {
-        sendHeartbeat(steadyNow());
+    if (!m_probedAt && !m_isHeartbeatQueued) {
+        sendHeartbeat();
     }
 }
 
