Peers: a suspected connection is closed when it is next needed, not by a timer

Now a suspected connection without calls is closed when a new frame would have taken it; one with calls is kept until they have ended, and closed with them.

Evidence: PausedNodeKeepsItsCalls covers a connection that was replaced during the pause: both calls are answered and the old connection is closed.

--- a/src/node/peers/peer_connection_asio.cpp
+++ b/src/node/peers/peer_connection_asio.cpp
@@ -280,10 +280,6 @@
         close(Reason::None);
         return;
     }
-    if (m_probedAt && now - std::max(*m_probedAt, lastSignOfLife()) > m_options.silenceTimeout) {
-        close(Reason::ConnectionSilent);
-        return;
-    }
     if (isSuspected(now) && !std::exchange(m_isSuspicionReported, true) && m_callbacks.onSuspected) {
         m_callbacks.onSuspected();
     }
--- a/src/node/peers/peer_set.cpp
+++ b/src/node/peers/peer_set.cpp
@@ -67,6 +67,10 @@
     for (const auto &[node, it] : outgoing) {
         it->connection->close(Reason::Stopping);
     }
+    const auto replaced = std::exchange(m_replaced, {});
+    for (const auto &it : replaced) {
+        it->connection->close(Reason::Stopping);
+    }
 }
 
 std::error_code PeerSet::start()
@@ -137,8 +141,13 @@
         if (!it->second->connection->isSuspected(steadyNow())) {
             return it->second;
         }
-        // Its calls in progress keep it until they end or it is retired as silent.
+        const auto suspected = it->second;
         m_outgoing.erase(it);
+        if (suspected->calls.empty()) {
+            suspected->connection->close(Reason::ConnectionSilent);
+        } else {
+            m_replaced.insert(suspected);
+        }
         probeAll();
     }
     const auto member = m_context.membership ? m_context.membership->find(node) : nullptr;
@@ -208,6 +217,9 @@
     m_calls.erase(it);
     if (call.outgoing) {
         call.outgoing->calls.erase(id);
+        if (call.outgoing->calls.empty() && m_replaced.contains(call.outgoing)) {
+            call.outgoing->connection->close(Reason::None);
+        }
     }
     return call;
 }
@@ -240,6 +252,7 @@
     if (it != m_outgoing.end() && it->second == outgoing) {
         m_outgoing.erase(it);
     }
+    m_replaced.erase(outgoing);
     if (reason != Reason::None && reason != Reason::Stopping) {
         recordRetiredConnection(outgoing->node, reason);
     }
@@ -375,7 +388,7 @@
 
 std::size_t PeerSet::connectionCount() const
 {
-    return m_outgoing.size() + m_incoming.size();
+    return m_outgoing.size() + m_replaced.size() + m_incoming.size();
 }
 
 std::size_t PeerSet::incomingCallCount() const
--- a/src/node/peers/peer_set.h
+++ b/src/node/peers/peer_set.h
@@ -99,6 +99,8 @@
     PeerConnectionOptions m_options;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_map<NodeId, std::shared_ptr<OutgoingConnection>> m_outgoing;
+    /// Suspected connections beside which another one was opened, until their calls have ended.
+    std::unordered_set<std::shared_ptr<OutgoingConnection>> m_replaced;
     std::unordered_set<std::shared_ptr<IncomingConnection>> m_incoming;
     std::unordered_map<std::uint64_t, PendingCall> m_calls;
     std::array<FrameHandler, static_cast<std::size_t>(FrameType::Count)> m_frameHandlers;
--- a/tests/io_silent_peers.cpp
+++ b/tests/io_silent_peers.cpp
@@ -236,16 +236,24 @@
     EXPECT_TRUE(runUntil([&] { return hasReply; }));
 }
 
-// A node that is paused for less than the silence timeout keeps its calls.
+// A node that is paused for less than the silence timeout keeps its calls, also those on a connection that was replaced meanwhile.
 TEST_F(SilentPeers, PausedNodeKeepsItsCalls)
 {
-    m_b->holdsCalls = true;
-    const auto end = beginCall();
-    ASSERT_TRUE(runUntil([this] { return !m_b->held.empty(); }));
     constexpr bool kRunsB = false;
-    run(1200ms, kRunsB);
-    EXPECT_FALSE(*end);
-    m_b->held.front()(CallAnswer{.outcome = Outcome::Answer, .status = 200});
-    ASSERT_TRUE(runUntil([&] { return end->has_value(); }));
-    EXPECT_EQ((*end)->outcome, Outcome::Answer);
+    m_b->holdsCalls = true;
+    const auto first = beginCall();
+    ASSERT_TRUE(runUntil([this] { return m_b->held.size() == 1; }));
+    run(900ms, kRunsB);
+    const auto second = beginCall();
+    EXPECT_EQ(m_a->peers.connectionCount(), 2U);
+    run(300ms, kRunsB);
+    EXPECT_FALSE(first->has_value() || second->has_value());
+    ASSERT_TRUE(runUntil([this] { return m_b->held.size() == 2; }));
+    for (const auto &it : m_b->held) {
+        it(CallAnswer{.outcome = Outcome::Answer, .status = 200});
+    }
+    ASSERT_TRUE(runUntil([&] { return first->has_value() && second->has_value(); }));
+    EXPECT_EQ((*first)->outcome, Outcome::Answer);
+    EXPECT_EQ((*second)->outcome, Outcome::Answer);
+    EXPECT_EQ(m_a->peers.connectionCount(), 1U);
 }
