Settings: durations with a unit may have fractions

The platform states durations as 1500ms or 2.5s. The settings took whole numbers only, so a bound of 2.5s would have kept every node from starting, since the planned stop and the store's timeouts now follow from bounds. A value that the template leaves out keeps its default; a change bound under 500 ms, which would leave watches no time, is refused.

Evidence: DurationsMayHaveFractions. Found by reading; the sites of this kit state whole numbers.

--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -43,6 +43,9 @@
     std::uint64_t maxValue = 0;
 };
 
+constexpr std::uint64_t kDayMs = 86'400'000;
+constexpr double kMillisecondsPerSecond = 1000;
+
 std::optional<std::uint64_t> parseNumber(const std::string &value)
 {
     std::uint64_t number = 0;
@@ -109,13 +112,24 @@
 /// Accepts a whole number with the unit ms or s; without a unit it counts milliseconds.
 std::optional<std::string> storeDurationWithUnit(NodeSettings &settings, const KeyRow &row, const std::string &value)
 {
-    const auto digits = value.find_first_not_of("0123456789");
+    if (value.empty()) {
+        // A template leaves out what its platform doesn't state.
+        return std::nullopt;
+    }
+    const auto digits = value.find_first_not_of("0123456789.");
     const auto unit = digits == std::string::npos ? std::string("ms") : value.substr(digits);
-    const auto number = parseNumber(value.substr(0, digits));
-    if (!number || (unit != "ms" && unit != "s")) {
-        return "'" + value + "' isn't a duration such as 1500, 1500ms or 2s";
+    const auto text = value.substr(0, digits);
+    double number = 0;
+    const auto [at, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const auto milliseconds = unit == "s" ? number * kMillisecondsPerSecond : number;
+    if (ec != std::errc() || at != text.data() + text.size() || (unit != "ms" && unit != "s")
+        || milliseconds > static_cast<double>(kDayMs)) {
+        return "'" + value + "' isn't a duration of up to a day, such as 1500, 1500ms or 2.5s";
+    }
+    if (milliseconds < static_cast<double>(row.minValue)) {
+        return "'" + value + "' is less than " + std::to_string(row.minValue) + "ms";
     }
-    settings.*row.duration = unit == "s" ? Duration(std::chrono::seconds(*number)) : Duration(std::chrono::milliseconds(*number));
+    settings.*row.duration = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
     return std::nullopt;
 }
 
@@ -193,7 +207,6 @@
     return std::nullopt;
 }
 
-constexpr std::uint64_t kDayMs = 86'400'000;
 constexpr std::uint64_t kMebibyte = 1024ULL * 1024;
 
 constexpr std::array kKeys{
@@ -221,7 +234,11 @@
            .duration = &NodeSettings::storeStartWindow,
            .minValue = 0,
            .maxValue = kDayMs},
-    KeyRow{.section = "platform", .key = "change_bound", .store = storeDurationWithUnit, .duration = &NodeSettings::changeBound},
+    KeyRow{.section = "platform",
+           .key = "change_bound",
+           .store = storeDurationWithUnit,
+           .duration = &NodeSettings::changeBound,
+           .minValue = 500},
     KeyRow{"seeds", "nodes", storeSeeds},
     KeyRow{"security", "fleet_key", storeFleetKey},
     KeyRow{.section = "security",
--- a/tests/io_settings.cpp
+++ b/tests/io_settings.cpp
@@ -22,6 +22,19 @@
 
 } // namespace
 
+// The platform states durations with fractions.
+TEST(Settings, DurationsMayHaveFractions)
+{
+    EXPECT_EQ(parse("[platform]\nchange_bound = 2.5s\n").changeBound, 2500ms);
+    EXPECT_EQ(parse("[platform]\nchange_bound = 2500ms\n").changeBound, 2500ms);
+    EXPECT_EQ(parse("[stop]\nkill_after = 0.75s\n").stopKillTime, 750ms);
+    EXPECT_EQ(parse("[stop]\nkill_after = 4000\n").stopKillTime, 4s);
+    EXPECT_EQ(parse("[platform]\nchange_bound =\n").changeBound, NodeSettings().changeBound);
+    for (const std::string value : {"s", ".", "1.5.2s", "-2s", "2 s", "2m", "1e9s", "99999999s", "0", "499ms"}) {
+        EXPECT_EQ(parseNodeSettings(kRequired + ("[platform]\nchange_bound = " + value + "\n"), "test").findings.size(), 1U) << value;
+    }
+}
+
 // The drain had a fixed end: too early where the platform gives a process more time, too late where it gives less.
 TEST(Settings, PlannedStopUsesTheTimeUntilThePlatformKillsTheProcess)
 {
