Comments: say what three places do today

A duration may have a fraction, the grace is a quotient, and the lines of chunks are limited like the head.

--- a/src/config/store_timeouts.cpp
+++ b/src/config/store_timeouts.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kListTime = std::chrono::milliseconds(300);
 constexpr Duration kMaxWatchGrace = std::chrono::milliseconds(1500);
 constexpr Duration kMaxCallTimeout = std::chrono::seconds(3);
-/// Part of the time until a silent watch is noticed that is left for its answer.
+/// The grace is the time within which a silent watch is noticed, divided by this.
 constexpr int kGraceDivisor = 5;
 
 } // namespace
--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -251,7 +251,7 @@
     }
 
     /// Parses what has arrived, then reads on until the response is complete. The parser's limits cover the head and the body; the lines of
-    /// chunks and the trailer, which the parser takes only as a whole, are limited by what the buffer may hold.
+    /// chunks and the trailer, which the parser takes only as a whole, are limited like the head.
     void parse()
     {
         beast::error_code ec;
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -109,7 +109,7 @@
     return std::nullopt;
 }
 
-/// Accepts a whole number with the unit ms or s; without a unit it counts milliseconds.
+/// Accepts a decimal number with the unit ms or s; without a unit it counts milliseconds.
 std::optional<std::string> storeDurationWithUnit(NodeSettings &settings, const KeyRow &row, const std::string &value)
 {
     if (value.empty()) {
