Interfaces for customers, gate-held retry budgets and load reports

Adds the types and wire fields by which the parts of docs/design/README.md meet: customers in the route table, the customer and the repeat mark of a call, the load that a gate reports with its answers, and two reasons. Nothing sets or reads them yet.

--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -170,11 +170,26 @@
     std::uint32_t priority = 0;
     /// Maximum number of upstreams on which one request may be attempted.
     std::uint32_t maxAttempts = 1;
+    /// Requests need no key of a customer.
+    bool isPublic = false;
 
     /// Returns the request class that decides when the route's requests are refused in an overload.
     RequestClass requestClass() const;
 };
 
+/// A customer, known by its keys.
+struct CustomerSpec
+{
+    std::string name;
+    /// Digests of the keys, in lower-case hex: the first 16 bytes of the SHA-256 of each key. The keys themselves aren't kept.
+    std::vector<std::string> keyDigests;
+    /// Priority that precedes the route's; 0 is the highest. Nothing to use the route's.
+    std::optional<std::uint32_t> priority;
+    /// Limit on the customer's requests over all nodes: a token bucket with this rate and capacity. A rate of 0 means no limit.
+    double requestsPerSecond = 0;
+    double burst = 0;
+};
+
 /// Properties of the backend servers of a service, as the route table states them.
 struct RoutedServiceSpec
 {
@@ -199,6 +214,8 @@
     std::vector<RouteSpec> routes;
     std::vector<RoutedServiceSpec> services;
     TrafficLimits limits;
+    /// Customers whose keys are accepted; nothing if requests need no key.
+    std::optional<std::vector<CustomerSpec>> customers;
 };
 
 using ObjectSpec =
--- a/include/chicoryspar/core.h
+++ b/include/chicoryspar/core.h
@@ -179,6 +179,9 @@
     TooManyConnections,
     SlowCaller,
     MemoryLimit,
+    // Customers.
+    CustomerUnknown,
+    CustomerRateLimit,
     Count,
 };
 
@@ -265,6 +268,8 @@
     Duration remaining{0};
     /// True when the call ranks as its root request does, whatever its depth: an admission level refuses only the root request itself.
     bool ranksAsRoot = false;
+    /// True when this call repeats one that may have reached a backend server, or descends from such a call.
+    bool isRepeat = false;
 };
 
 constexpr std::uint8_t kMaxImportance = 15;
--- a/include/chicoryspar/http.h
+++ b/include/chicoryspar/http.h
@@ -126,6 +126,8 @@
     std::optional<RequestId> root;
     std::optional<Duration> timeout;
     std::optional<std::uint16_t> retryTokens;
+    /// Key by which the caller proves which customer it is. A secret; nothing if the request carries none.
+    std::optional<std::string> credential;
     /// Token of the parent call; empty for none.
     std::string parentToken;
     /// Whether the parent token was derived from another field, so that it may match no call.
@@ -151,6 +153,16 @@
     Reason reason = Reason::None;
 };
 
+/// Load that a backend server states in one answer.
+struct BackendLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    /// Time that work takes there now, in percent of its usual time; nothing if not stated.
+    std::optional<std::uint32_t> pacePercent;
+};
+
 /// What a backend server states about itself in one answer.
 struct AnswerSignals
 {
@@ -158,6 +170,8 @@
     std::optional<double> rateLimit;
     /// It is leaving: it ends soon, and no further requests should be sent.
     bool isLeaving = false;
+    /// Nothing if not stated.
+    std::optional<BackendLoad> load;
 };
 
 /// Paths, header names and body formats in which one kind of deployment describes calls, answers and announcements on the HTTP ports.
--- a/include/chicoryspar/wire.h
+++ b/include/chicoryspar/wire.h
@@ -91,6 +91,19 @@
     bool isLeaving = false;
 };
 
+/// Load of a gate and its backend server, reported to the senders of calls.
+struct GateLoad
+{
+    /// Expected time, per slot, to complete the calls that run and wait there, at the current pace.
+    Duration outstandingWork{0};
+    /// Time that work takes at the backend server now, in percent of its usual time; 0 if the backend server doesn't state it.
+    std::uint32_t pacePercent = 0;
+    /// Time since the backend server stated its pace.
+    Duration paceAge{0};
+    /// Whole repeats that the gate may still dispatch, see CallContext::isRepeat; nothing if the gate doesn't bound repeats.
+    std::optional<std::uint32_t> repeatTokens;
+};
+
 /// Asks the receiving node to run a request on its backend server.
 struct CallRequest
 {
@@ -120,6 +133,8 @@
     std::uint64_t clock = 0;
     /// Last state of the receiver's backend server that the sender knows, for a receiver that has started since.
     std::optional<BackendState> knownBackend;
+    /// Name of the customer that sent the root request, for the backend server; empty for none.
+    std::string customer;
 };
 
 /// Answers a CallRequest with its outcome.
@@ -156,6 +171,8 @@
     std::uint64_t clock = 0;
     /// State of the backend server, if it limits its requests or leaves.
     std::optional<BackendState> backend;
+    /// Load of the gate that answered; nothing if its backend server doesn't state its pace and the gate doesn't bound repeats.
+    std::optional<GateLoad> load;
 };
 
 /// Cancels a call whose answer is no longer needed.
--- a/src/core/tables.cpp
+++ b/src/core/tables.cpp
@@ -56,6 +56,8 @@
     {"too-many-connections", 503, "the node has no free connection for callers"},
     {"slow-caller", 408, "the caller sent or read too slowly"},
     {"memory-limit", 503, "the node's limit on buffered bytes is reached"},
+    {"customer-unknown", 401, "the request carries no key of a configured customer"},
+    {"customer-rate-limit", 429, "the customer's rate limit over all nodes is reached"},
 }};
 
 class ReasonCategory : public std::error_category
--- a/src/wire/messages_call.cpp
+++ b/src/wire/messages_call.cpp
@@ -35,12 +35,18 @@
     visitor(value.instance, value.processStartMs, value.rateLimit, value.isLeaving);
 }
 
+template<typename Visitor>
+void visitFields(Visitor &visitor, GateLoad &value)
+{
+    visitor(value.outstandingWork, value.pacePercent, value.paceAge, value.repeatTokens);
+}
+
 template<typename Visitor>
 void visitFields(Visitor &visitor, CallRequest &value)
 {
     visitor(value.id, value.context, value.service, value.caller, value.verb, value.target, value.headers, value.body, value.key,
             value.dispatchBefore, value.forOwner, value.firstAttempt, value.dispatchAttempt, value.decidedAt, value.clock,
-            value.knownBackend);
+            value.knownBackend, value.customer);
 }
 
 template<typename Visitor>
@@ -48,7 +54,7 @@
 {
     visitor(value.id, value.outcome, value.reason, value.status, value.headers, value.body, value.retryTokensLeft, value.level,
             value.levelBelow, value.retryAfter, value.node, value.serviceTime, value.tokensReturned, value.hasLevels, value.fromOwner,
-            value.redirects, value.forwardTo, value.clock, value.backend);
+            value.redirects, value.forwardTo, value.clock, value.backend, value.load);
 }
 
 template<typename Visitor>
--- a/src/wire/pack.h
+++ b/src/wire/pack.h
@@ -236,7 +236,8 @@
 template<typename Visitor>
 void visitFields(Visitor &visitor, CallContext &value)
 {
-    visitor(value.root, value.requestClass, value.importance, value.depth, value.retryTokens, value.remaining, value.ranksAsRoot);
+    visitor(value.root, value.requestClass, value.importance, value.depth, value.retryTokens, value.remaining, value.ranksAsRoot,
+            value.isRepeat);
 }
 
 template<typename Visitor>
