Membership port: datagrams of other parts of a node

Cause: reports and grants about customers are datagrams between the same nodes, with the same signature.

Change: MembershipDriver::sendPayload() and a handler for such payloads. They begin with a byte that no msgpack value begins with, so the datagrams of the membership stay as they are.

--- a/src/node/peers/membership_driver.cpp
+++ b/src/node/peers/membership_driver.cpp
@@ -20,6 +20,8 @@
 /// spread an update to the other regions.
 constexpr double kCrossRegionProbability = 0.25;
 constexpr std::size_t kReceiveBufferBytes = 2 * kMaxMessageBytes;
+/// First byte of a payload that isn't a membership message. No msgpack value begins with it, so membership messages need no mark.
+constexpr char kPayloadMark = '\xC1';
 /// Minimum interval between events about clocks that are too far ahead.
 constexpr Duration kSkewEventInterval = std::chrono::minutes(1);
 
@@ -109,6 +111,18 @@
     m_configPayloadHandler = std::move(handler);
 }
 
+void MembershipDriver::setPayloadHandler(PayloadHandler handler)
+{
+    m_payloadHandler = std::move(handler);
+}
+
+void MembershipDriver::sendPayload(NodeId node, std::string_view payload)
+{
+    if (const auto *member = m_membership ? m_membership->find(node) : nullptr) {
+        sendDatagram(member->info.address, kPayloadMark + std::string(payload));
+    }
+}
+
 void MembershipDriver::sendOwnRecord(NodeId node)
 {
     std::vector<OutgoingMessage> out;
@@ -190,6 +204,10 @@
     }
     const auto payload = datagram.substr(signatureBytes);
     const bool isSigned = equalSignatures(datagram.substr(0, signatureBytes), sign(payload));
+    if (isSigned && m_payloadHandler && payload.starts_with(kPayloadMark)) {
+        m_payloadHandler(steadyNow(), payload.substr(1));
+        return;
+    }
     const auto message = isSigned ? decodePayload<MembershipMessage>(payload) : std::nullopt;
     if (!message) {
         ++m_counters.rejected;
@@ -225,13 +243,17 @@
 
 void MembershipDriver::sendMessage(OutgoingMessage &outgoing)
 {
-    const auto endpoint = parseUdpEndpoint(outgoing.to);
+    outgoing.message.clock = m_context.tick().value;
+    sendDatagram(outgoing.to, encodePayload(outgoing.message));
+}
+
+void MembershipDriver::sendDatagram(const std::string &to, std::string_view payload)
+{
+    const auto endpoint = parseUdpEndpoint(to);
     if (!endpoint || m_isStopped) {
         return;
     }
-    outgoing.message.clock = m_context.tick().value;
-    const auto payload = encodePayload(outgoing.message);
-    const auto datagram = sign(payload) + payload;
+    const auto datagram = sign(payload).append(payload);
     boost::system::error_code ec;
     m_socket.send_to(asio::buffer(datagram), *endpoint, 0, ec);
     if (!ec) {
--- a/src/node/peers/membership_driver.h
+++ b/src/node/peers/membership_driver.h
@@ -28,6 +28,9 @@
     /// Handles the configuration digest and payload that node @a from attached to a message.
     using ConfigPayloadHandler = std::function<void(TimePoint now, NodeId from, std::uint64_t digest, const std::string &payload)>;
 
+    /// Handles a payload of another part of a node that arrived in a datagram of its own.
+    using PayloadHandler = std::function<void(TimePoint now, std::string_view payload)>;
+
     explicit MembershipDriver(NodeContext &context);
 
     /// Opens the UDP port and joins the cluster.
@@ -42,6 +45,11 @@
 
     void setConfigPayloadHandler(ConfigPayloadHandler handler);
 
+    /// Sends @a payload to @a node in a datagram of its own, signed like those of the membership. Does nothing if the node isn't known.
+    void sendPayload(NodeId node, std::string_view payload);
+
+    void setPayloadHandler(PayloadHandler handler);
+
     /// Sends this node's record and configuration digest to @a node at once.
     void sendOwnRecord(NodeId node);
 
@@ -63,6 +71,7 @@
     void observeClock(TimePoint now, const MembershipMessage &message);
     void sendMessages(std::vector<OutgoingMessage> &out);
     void sendMessage(OutgoingMessage &outgoing);
+    void sendDatagram(const std::string &to, std::string_view payload);
     void recordChanges(TimePoint now);
     std::string sign(std::string_view payload) const;
 
@@ -73,6 +82,7 @@
     std::vector<char> m_buf;
     std::unique_ptr<Membership> m_membership;
     ConfigPayloadHandler m_configPayloadHandler;
+    PayloadHandler m_payloadHandler;
     DatagramCounters m_counters;
     TimePoint m_nextSkewEventAt{};
     bool m_isStopped = false;
