Node: limits the requests of customers

Cause: nothing applied the rate limits of customers.

Change: CustomerLimits connects the state machines of the library `customer` to the configuration, the members, the membership port and the timer. The entry service holds a request that waits for tokens, so that it counts as in progress and can be given up, and refuses it with 429 and Retry-After.

--- a/src/node/context.h
+++ b/src/node/context.h
@@ -18,6 +18,7 @@
 
 namespace chicoryspar {
 
+class CustomerLimits;
 class Dispatcher;
 class EntryService;
 class GateService;
@@ -88,6 +89,7 @@
     Dispatcher *dispatcher = nullptr;
     EntryService *entry = nullptr;
     KeyService *keys = nullptr;
+    CustomerLimits *customers = nullptr;
 
     ChangeSignal configChanged;
     ChangeSignal membersChanged;
--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -6,6 +6,7 @@
 #include "node/control/operator_api.h"
 
 #include "node/clock.h"
+#include "node/customer/customer_limits.h"
 #include "node/gate/gate_service.h"
 #include "node/log.h"
 #include "store/listener_cpprest.h"
@@ -253,7 +254,11 @@
 
 OperatorAnswer OperatorApi::answerMetrics(TimePoint, const OperatorRequest &)
 {
-    return {.body = m_context.metrics.renderText(m_context.settings.name), .contentType = "text/plain; version=0.0.4"};
+    auto text = m_context.metrics.renderText(m_context.settings.name);
+    if (m_context.customers) {
+        text += m_context.customers->renderMetrics();
+    }
+    return {.body = std::move(text), .contentType = "text/plain; version=0.0.4"};
 }
 
 OperatorAnswer OperatorApi::answerDrain(TimePoint now, const OperatorRequest &request)
--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -4,6 +4,7 @@
 #include "node/entry/entry_service.h"
 
 #include "node/clock.h"
+#include "node/customer/customer_limits.h"
 #include "node/entry/dispatcher.h"
 #include "node/entry/entry_request.h"
 #include "node/gate/gate_service.h"
@@ -207,10 +208,50 @@
         m_context.gate->addChild(entry.parent, id);
     }
     const auto deadline = now + call.context.remaining;
-    beginCall(id, entry, std::move(call), target, deadline);
+    beginLimitedCall(now, id, nullptr, std::move(call), target, deadline);
     return m_entries.contains(id) ? id : 0;
 }
 
+/// Begins the call once the rate limit of @a customer, if there is one, admits it. The deadline keeps running meanwhile.
+void EntryService::beginLimitedCall(TimePoint now, std::uint64_t id, const CustomerSpec *customer, CallRequest request,
+                                    const Target &target, TimePoint deadline)
+{
+    if (!customer || customer->requestsPerSecond <= 0) {
+        beginCall(id, m_entries.at(id), std::move(request), target, deadline);
+        return;
+    }
+    auto held = std::make_shared<CallRequest>(std::move(request));
+    const auto ticket = m_context.customers->admit(now, *customer, [this, id, held, target, deadline](const RateLimitDecision &decision) {
+        const auto it = m_entries.find(id);
+        if (it == m_entries.end()) {
+            return;
+        }
+        it->second.limitTicket = 0;
+        if (decision.verdict == RateLimitVerdict::Admitted) {
+            beginCall(id, it->second, std::move(*held), target, deadline);
+        } else {
+            refuseLimited(id, Reason::CustomerRateLimit, decision.retryAfter);
+        }
+    });
+    const auto it = m_entries.find(id);
+    if (it != m_entries.end()) {
+        it->second.limitTicket = ticket;
+    }
+}
+
+/// Ends a request that the rate limit of its customer refused, or that was cancelled while it waited.
+void EntryService::refuseLimited(std::uint64_t id, Reason reason, Duration retryAfter)
+{
+    const auto &entry = m_entries.at(id);
+    m_context.events.countRefusal(entry.service, entry.requestClass, reason, entry.root);
+    CallAnswer answer;
+    answer.outcome = Outcome::NotRun;
+    answer.reason = reason;
+    answer.retryAfter = retryAfter;
+    answer.node = m_context.settings.name;
+    onAnswer(id, std::move(answer));
+}
+
 void EntryService::beginCall(std::uint64_t id, Entry &entry, CallRequest request, const Target &target, TimePoint deadline)
 {
     auto handler = [this, id](CallAnswer answer) { onAnswer(id, std::move(answer)); };
@@ -318,6 +359,11 @@
         return;
     }
     it->second.respond = nullptr;
+    if (it->second.limitTicket != 0) {
+        m_context.customers->abandon(it->second.limitTicket);
+        refuseLimited(id, Reason::Cancelled, Duration{0});
+        return;
+    }
     const auto callId = it->second.callId;
     m_context.dispatcher->cancelCall(callId);
 }
--- a/src/node/entry/entry_service.h
+++ b/src/node/entry/entry_service.h
@@ -53,6 +53,8 @@
         HttpHandler::Respond respond;
         /// Identifier for Dispatcher::cancelCall(); 0 for keyed calls.
         std::uint64_t callId = 0;
+        /// Ticket of a request that waits for the rate limit of its customer; 0 for none.
+        std::uint64_t limitTicket = 0;
         bool isKeyed = false;
     };
 
@@ -69,6 +71,9 @@
 
     std::uint64_t beginRequest(EntryRole role, HttpRequest request, HttpHandler::Respond respond);
     void abandonRequest(std::uint64_t id);
+    void beginLimitedCall(TimePoint now, std::uint64_t id, const CustomerSpec *customer, CallRequest request, const Target &target,
+                          TimePoint deadline);
+    void refuseLimited(std::uint64_t id, Reason reason, Duration retryAfter);
     void beginCall(std::uint64_t id, Entry &entry, CallRequest request, const Target &target, TimePoint deadline);
     void onAnswer(std::uint64_t id, CallAnswer answer);
     void logOutcome(const Entry &entry, const CallAnswer &answer, Duration elapsed) const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,7 @@
 #include "node/control/contact_directory.h"
 #include "node/control/operator_api.h"
 #include "node/control/status_reporter.h"
+#include "node/customer/customer_limits.h"
 #include "node/entry/dispatcher.h"
 #include "node/entry/entry_service.h"
 #include "node/gate/gate_service.h"
@@ -115,6 +116,7 @@
         , m_gate(m_context)
         , m_peers(m_context)
         , m_membership(m_context)
+        , m_customers(m_context, m_membership)
         , m_store(m_io, createStore(m_settings, m_dialects.store))
         , m_config(m_context, m_membership, m_store, m_dialects.store->kinds())
         , m_contacts(m_context, m_membership, m_store, m_dialects.store->storesContacts())
@@ -136,6 +138,7 @@
         m_context.dispatcher = &m_dispatcher;
         m_context.entry = &m_entry;
         m_context.keys = &m_keys;
+        m_context.customers = &m_customers;
         m_gate.setCancelChild([this](std::uint64_t id) { m_entry.cancelChild(id); });
         m_peers.setCallHandler(
             [this](CallRequest request, AnswerHandler handler) { return m_keys.serveCall(std::move(request), std::move(handler)); },
@@ -314,6 +317,7 @@
     GateService m_gate;
     PeerSet m_peers;
     MembershipDriver m_membership;
+    CustomerLimits m_customers;
     StoreLink m_store;
     ConfigDriver m_config;
     ContactDirectory m_contacts;
