Route table: customers with digests of their keys, public routes

Requests of customers have to be told apart by their keys, and nothing read the list of customers.

The spec of a RouteTable takes `customers` and `public` at a route. ConfigSet indexes customers by the digests of their keys, so that a lookup costs the same with 10,000 of them. Invalid lists refuse the object, and no finding quotes a key. An object may be 4 MiB long: customers grow when the platform's form, 1 MiB at most, is translated. customerImportance() orders requests by the priority of the route and a label where the customer's priority determines the class.

--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -152,6 +152,9 @@
     bool operator==(const RouteBackend &) const = default;
 };
 
+/// Returns the request class of the requests with @a priority, 0 being the highest.
+RequestClass requestClassOfPriority(std::uint32_t priority);
+
 /// Route of the requests to one host and path prefix.
 struct RouteSpec
 {
@@ -185,7 +188,8 @@
     std::vector<std::string> keyDigests;
     /// Priority that precedes the route's; 0 is the highest. Nothing to use the route's.
     std::optional<std::uint32_t> priority;
-    /// Limit on the customer's requests over all nodes: a token bucket with this rate and capacity. A rate of 0 means no limit.
+    /// Limit on the customer's requests over all nodes: a token bucket with this rate and capacity. A rate of 0 means no limit. With a
+    /// limit, the capacity is at least 1; unless stated, it is what the rate gives in one second.
     double requestsPerSecond = 0;
     double burst = 0;
 };
@@ -311,7 +315,8 @@
 /// Formats @a wall as RFC 3339 text in UTC, with a resolution of one second.
 std::string formatTimestamp(WallTime wall);
 
-constexpr std::size_t kMaxObjectBytes = 2 * 1024 * 1024;
+/// Holds the largest object that the store accepts (1 MiB), whose customers grow to up to three times their size in the product's form.
+constexpr std::size_t kMaxObjectBytes = 4 * 1024 * 1024;
 constexpr std::size_t kMaxObjects = 4096;
 
 /// Key of an object in a ConfigSet.
@@ -509,6 +514,13 @@
     std::optional<Duration> shortestLatencyObjective(std::string_view service) const;
     /// Returns the limits of the route table, or the defaults without one.
     const TrafficLimits &trafficLimits() const;
+    /// Returns whether requests to routes that aren't public need the key of a customer.
+    bool requiresCustomers() const;
+    /// Returns the customer that has a key with @a digest, or a null pointer. The duration depends on the digest only, of which a caller
+    /// that guesses keys can't learn anything useful.
+    const CustomerSpec *findCustomerByDigest(std::string_view digest) const;
+    /// Returns all customers.
+    const std::vector<const CustomerSpec *> &customers() const;
     /// Returns the number of objects and tombstones.
     std::size_t size() const;
 
@@ -541,6 +553,7 @@
     void forgetRefusal(const ConfigObject &object);
     void indexCallers(std::string_view policyName, const CallerPolicySpec &policy);
     void indexRoutes(const RouteTableSpec &table);
+    void indexCustomers(const RouteTableSpec &table);
     void rebuildIndexes();
 
     std::map<ObjectKey, ObjectInForce> m_objects;
@@ -554,6 +567,10 @@
     /// Routes by host, longest prefix first.
     std::unordered_map<std::string, std::vector<const RouteSpec *>, NameHash, std::equal_to<>> m_routes;
     const RouteTableSpec *m_routeTable = nullptr;
+    std::vector<const CustomerSpec *> m_customers;
+    /// Customers by the digests of their keys. Views and pointers lead into the objects in force.
+    std::unordered_map<std::string_view, const CustomerSpec *, NameHash> m_customersByDigest;
+    bool m_requiresCustomers = false;
     std::uint64_t m_digest = 0;
 };
 
--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -6,6 +6,7 @@
 
 #include <chicoryspar/core.h>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -49,6 +50,20 @@
 
 Rank makeRank(const CallContext &context);
 
+/// Number of label steps of a request of a customer, see customerImportance().
+constexpr std::uint8_t kLabelSteps = 5;
+
+/// Returns the importance of a request of a customer whose priority determines the request class: the route's priority decides first, then
+/// the label.
+/// @param routePriority 0 is the highest; all above 2 count as 2
+/// @param labelStep from 0 (refused first) to kLabelSteps - 1
+constexpr std::uint8_t customerImportance(std::uint32_t routePriority, std::uint8_t labelStep)
+{
+    constexpr std::uint32_t kLowestPriority = 2;
+    const auto step = labelStep < kLabelSteps ? labelStep : kLabelSteps - 1;
+    return static_cast<std::uint8_t>((kLowestPriority - std::min(routePriority, kLowestPriority)) * kLabelSteps + step);
+}
+
 /// Returns the request class of a rank or level.
 RequestClass classOf(Rank rank);
 RequestClass classOf(Level level);
--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -3,6 +3,8 @@
 
 #include "config/fields.h"
 
+#include <cmath>
+
 namespace chicoryspar {
 
 std::optional<std::uint64_t> readNumber(const Json &json, const std::string &path, std::uint64_t min, std::uint64_t max,
@@ -18,6 +20,18 @@
     return std::nullopt;
 }
 
+std::optional<double> readDecimal(const Json &json, const std::string &path, double max, ObjectFindings &findings)
+{
+    if (json.is_number()) {
+        const auto number = json.get<double>();
+        if (number >= 0 && number <= max) {
+            return number;
+        }
+    }
+    findings.addFault(path, "must be a number from 0 to " + std::to_string(std::llround(max)));
+    return std::nullopt;
+}
+
 std::optional<std::string> readString(const Json &json, const std::string &path, ObjectFindings &findings)
 {
     if (json.is_string()) {
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -45,6 +45,9 @@
 std::optional<std::uint64_t> readNumber(const Json &json, const std::string &path, std::uint64_t min, std::uint64_t max,
                                         ObjectFindings &findings);
 
+/// Reads a number, whole or not, in [0, max].
+std::optional<double> readDecimal(const Json &json, const std::string &path, double max, ObjectFindings &findings);
+
 /// Reads a string.
 std::optional<std::string> readString(const Json &json, const std::string &path, ObjectFindings &findings);
 
--- a/src/config/lookup.cpp
+++ b/src/config/lookup.cpp
@@ -58,8 +58,25 @@
     }
 }
 
+void ConfigSet::indexCustomers(const RouteTableSpec &table)
+{
+    if (!table.customers) {
+        return;
+    }
+    m_requiresCustomers = true;
+    for (const auto &it : *table.customers) {
+        m_customers.push_back(&it);
+        for (const auto &digest : it.keyDigests) {
+            m_customersByDigest.emplace(digest, &it);
+        }
+    }
+}
+
 void ConfigSet::rebuildIndexes()
 {
+    m_customers.clear();
+    m_customersByDigest.clear();
+    m_requiresCustomers = false;
     m_routes.clear();
     m_routeTable = nullptr;
     m_services.clear();
@@ -84,6 +101,7 @@
         }
         if (const auto *table = std::get_if<RouteTableSpec>(&entry.object->spec)) {
             indexRoutes(*table);
+            indexCustomers(*table);
         }
     }
     std::stable_sort(m_callerPrefixes.begin(), m_callerPrefixes.end(),
@@ -174,6 +192,22 @@
     return shortest;
 }
 
+bool ConfigSet::requiresCustomers() const
+{
+    return m_requiresCustomers;
+}
+
+const CustomerSpec *ConfigSet::findCustomerByDigest(std::string_view digest) const
+{
+    const auto it = m_customersByDigest.find(digest);
+    return it == m_customersByDigest.end() ? nullptr : it->second;
+}
+
+const std::vector<const CustomerSpec *> &ConfigSet::customers() const
+{
+    return m_customers;
+}
+
 const TrafficLimits &ConfigSet::trafficLimits() const
 {
     return m_routeTable ? m_routeTable->limits : kDefaultTrafficLimits;
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -157,7 +157,7 @@
 {
     ParsedObject parsed;
     if (json.size() > kMaxObjectBytes || exceedsNestingDepth(json)) {
-        parsed.findings.push_back({"object", "must be at most 2 MiB of JSON, nested at most 32 levels deep"});
+        parsed.findings.push_back({"object", "must be at most 4 MiB of JSON, nested at most 32 levels deep"});
         return parsed;
     }
     auto value = Json::parse(json, nullptr, false);
--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <set>
+#include <unordered_set>
 
 namespace chicoryspar {
 namespace {
@@ -25,6 +26,11 @@
 constexpr std::uint64_t kMaxWeight = 1'000'000;
 constexpr std::uint64_t kMaxPriority = 1000;
 constexpr std::uint64_t kMaxAttempts = 16;
+constexpr std::size_t kMaxCustomers = 65536;
+constexpr std::size_t kMaxCustomerNameLength = 253;
+constexpr std::size_t kMaxCustomerKeys = 256;
+constexpr std::size_t kKeyDigestLength = 32;
+constexpr double kMaxRequestsPerSecond = 1e9;
 constexpr std::uint64_t kMaxTrafficLimitBytes = 1ULL << 40;
 constexpr std::array<std::string_view, 9> kVerbs{"", "*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
@@ -141,7 +147,7 @@
     spec.backends = readItems(json, path, kRouteBackendFields, kMaxRouteBackends, findings);
 }
 
-constexpr std::array<Field<RouteSpec>, 9> kRouteFields{{
+constexpr std::array<Field<RouteSpec>, 10> kRouteFields{{
     {"name", &RouteSpec::name},
     {"host", &RouteSpec::host},
     {"pathPrefix", &RouteSpec::pathPrefix},
@@ -151,6 +157,7 @@
     {"latencyObjectiveMs", &RouteSpec::latencyObjective, 1, kMaxDurationMs},
     {"priority", &RouteSpec::priority, 0, kMaxPriority},
     {"maxAttempts", &RouteSpec::maxAttempts, 1, kMaxAttempts},
+    {"public", &RouteSpec::isPublic},
 }};
 
 constexpr std::array<Field<RoutedServiceSpec>, 3> kRoutedServiceFields{{
@@ -166,6 +173,42 @@
     {"idleTimeoutMs", &TrafficLimits::idleTimeout, 1, kMaxDurationMs},
 }};
 
+void readKeyDigests(const Json &json, const std::string &path, CustomerSpec &spec, ObjectFindings &findings)
+{
+    spec.keyDigests = readStrings(json, path, findings);
+}
+
+void readCustomerPriority(const Json &json, const std::string &path, CustomerSpec &spec, ObjectFindings &findings)
+{
+    if (const auto priority = readNumber(json, path, 0, kMaxPriority, findings)) {
+        spec.priority = static_cast<std::uint32_t>(*priority);
+    }
+}
+
+template<double CustomerSpec::*kMember>
+void readCustomerRate(const Json &json, const std::string &path, CustomerSpec &spec, ObjectFindings &findings)
+{
+    spec.*kMember = readDecimal(json, path, kMaxRequestsPerSecond, findings).value_or(spec.*kMember);
+}
+
+constexpr std::array<Field<CustomerSpec>, 5> kCustomerFields{{
+    {"name", &CustomerSpec::name},
+    {"keyDigests", &readKeyDigests},
+    {"priority", &readCustomerPriority},
+    {"requestsPerSecond", &readCustomerRate<&CustomerSpec::requestsPerSecond>},
+    {"burst", &readCustomerRate<&CustomerSpec::burst>},
+}};
+
+void readCustomers(const Json &json, const std::string &path, RouteTableSpec &spec, ObjectFindings &findings)
+{
+    spec.customers = readItems(json, path, kCustomerFields, kMaxCustomers, findings);
+    for (auto &it : *spec.customers) {
+        if (it.requestsPerSecond > 0) {
+            it.burst = std::max(it.burst > 0 ? it.burst : it.requestsPerSecond, 1.0);
+        }
+    }
+}
+
 void readRoutes(const Json &json, const std::string &path, RouteTableSpec &spec, ObjectFindings &findings)
 {
     spec.routes = readItems(json, path, kRouteFields, kMaxRoutes, findings);
@@ -181,10 +224,11 @@
     spec.limits = readFields(json, path, kTrafficLimitFields, findings);
 }
 
-constexpr std::array<Field<RouteTableSpec>, 3> kRouteTableFields{{
+constexpr std::array<Field<RouteTableSpec>, 4> kRouteTableFields{{
     {"routes", &readRoutes},
     {"services", &readRoutedServices},
     {"limits", &readTrafficLimits},
+    {"customers", &readCustomers},
 }};
 
 void checkMethod(const MethodSpec &method, const std::string &path, ObjectFindings &findings)
@@ -302,8 +346,50 @@
     }
 }
 
+/// Returns whether @a name can be the value of an HTTP header field.
+bool isCustomerName(const std::string &name)
+{
+    const auto isControl = [](unsigned char c) { return c < 0x20 || c == 0x7F; };
+    const bool hasBlankEnd = name.starts_with(' ') || name.ends_with(' ');
+    return !name.empty() && name.size() <= kMaxCustomerNameLength && !hasBlankEnd && std::none_of(name.begin(), name.end(), isControl);
+}
+
+bool isKeyDigest(const std::string &digest)
+{
+    return digest.size() == kKeyDigestLength && digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+/// Checks the names and digests of customers. A digest or a name that two customers have would leave open whose request it is.
+void checkCustomers(const std::vector<CustomerSpec> &customers, ObjectFindings &findings)
+{
+    std::unordered_set<std::string_view> names;
+    std::unordered_map<std::string_view, std::size_t> owners;
+    for (std::size_t n = 0; n < customers.size(); ++n) {
+        const auto &customer = customers[n];
+        const auto path = "spec.customers[" + std::to_string(n) + "]";
+        if (!isCustomerName(customer.name)) {
+            findings.addFault(path + ".name", "must be 1 to 253 bytes without control characters, and not begin or end with a space");
+        } else if (!names.insert(customer.name).second) {
+            findings.addFault(path + ".name", "is used by an earlier customer already");
+        }
+        if (customer.keyDigests.size() > kMaxCustomerKeys) {
+            findings.addFault(path + ".keyDigests", "must hold at most " + std::to_string(kMaxCustomerKeys) + " digests");
+        }
+        for (std::size_t k = 0; k < customer.keyDigests.size(); ++k) {
+            const auto digestPath = path + ".keyDigests[" + std::to_string(k) + "]";
+            // The findings don't quote the text: it may be a key that was stated in place of its digest.
+            if (!isKeyDigest(customer.keyDigests[k])) {
+                findings.addFault(digestPath, "must be 32 lower-case hexadecimal digits");
+            } else if (owners.emplace(customer.keyDigests[k], n).first->second != n) {
+                findings.addFault(digestPath, "belongs to an earlier customer already");
+            }
+        }
+    }
+}
+
 void checkSpec(const RouteTableSpec &spec, ObjectFindings &findings)
 {
+    checkCustomers(spec.customers ? *spec.customers : std::vector<CustomerSpec>(), findings);
     for (std::size_t n = 0; n < spec.routes.size(); ++n) {
         const auto &route = spec.routes[n];
         const auto path = "spec.routes[" + std::to_string(n) + "]";
@@ -338,12 +424,17 @@
 
 } // namespace
 
-RequestClass RouteSpec::requestClass() const
+RequestClass requestClassOfPriority(std::uint32_t priority)
 {
     constexpr std::array kClasses{RequestClass::Order, RequestClass::Standard, RequestClass::Lookup};
     return kClasses.at(std::min<std::size_t>(priority, kClasses.size() - 1));
 }
 
+RequestClass RouteSpec::requestClass() const
+{
+    return requestClassOfPriority(priority);
+}
+
 ObjectSpec readSpec(ObjectKind kind, const Json &json, ObjectFindings &findings)
 {
     return kSpecReaders.at(static_cast<std::size_t>(kind))(json, findings);
