Dialects: keys of customers are read as digests, names are set by the node

The dialects neither read a customer's key nor stated its customer, and the list of customers wasn't translated.

readEntry() takes the digest of the bearer token, so that no part behind it holds a key. removeCustomerHeaders() removes the key and a client's own name; it is separate because deployments without customers pass both on. describeCall() adds the name of the call's customer. The translation of the platform's configuration computes the digests, and leaves anything else to the validation of the product, which refuses it.

--- a/include/chicoryspar/http.h
+++ b/include/chicoryspar/http.h
@@ -63,6 +63,13 @@
 /// Returns @a text with the letters A to Z in lower case.
 std::string toLowerCase(std::string_view text);
 
+/// Returns the digest of the bearer token (RFC 6750) in the Authorization header, in the form of CustomerSpec::keyDigests; nothing if
+/// there is none.
+std::optional<std::string> bearerTokenDigest(const std::vector<HeaderField> &headers);
+
+/// Returns the digest of a customer's key, in the form of CustomerSpec::keyDigests.
+std::string keyDigest(std::string_view key);
+
 /// Returns the host that a request is for, in lower case and without port: that of an absolute target, otherwise that of the Host header.
 std::string hostOf(std::string_view target, const std::vector<HeaderField> &headers);
 
@@ -126,7 +133,8 @@
     std::optional<RequestId> root;
     std::optional<Duration> timeout;
     std::optional<std::uint16_t> retryTokens;
-    /// Key by which the caller proves which customer it is. A secret; nothing if the request carries none.
+    /// Digest of the key by which the caller proves which customer it is, as in CustomerSpec::keyDigests; nothing if the request carries
+    /// no key.
     std::optional<std::string> credential;
     /// Token of the parent call; empty for none.
     std::string parentToken;
@@ -195,10 +203,13 @@
     virtual EntryFields readEntry(const HttpRequest &request) const = 0;
     /// Removes the headers that only the node may set.
     virtual void removeReservedHeaders(std::vector<HeaderField> &headers) const = 0;
+    /// Removes the customer's key and any name of a customer. Not called for deployments without customers, whose backend servers get
+    /// these headers as the client sent them.
+    virtual void removeCustomerHeaders(std::vector<HeaderField> &headers) const = 0;
 
     /// Returns the token by which child calls name this call as their parent; empty when the node must generate one.
     virtual std::string callToken(const CallRequest &request) const = 0;
-    /// Adds the headers that describe the call to the backend server.
+    /// Adds the headers that describe the call to the backend server, including the name of its customer if it has one.
     virtual void describeCall(const BackendCall &call, std::vector<HeaderField> &headers) const = 0;
     /// Returns the health check for the backend server; nothing when the dialect has none.
     virtual std::optional<HttpRequest> healthRequest(const std::string &healthPath) const = 0;
--- a/src/http/edge_native.cpp
+++ b/src/http/edge_native.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view kAnnouncePath = "/chicoryspar/announce";
 constexpr std::string_view kReadinessPath = "/chicoryspar/ready";
 constexpr std::string_view kHeaderPrefix = "Chicoryspar-";
+constexpr std::string_view kCustomerHeader = "Chicoryspar-Customer";
 constexpr std::uint64_t kMaxTimeoutMs = 600'000;
 constexpr std::uint64_t kMaxRetryTokens = 100;
 constexpr std::uint64_t kMaxSlots = 65535;
@@ -101,6 +102,9 @@
     response.status = static_cast<std::uint16_t>(row.status == kOk ? rowOf(Reason::BackendFailed).status : row.status);
     response.headers.push_back({"Content-Type", "application/problem+json"});
     response.headers.push_back({"Retry-After", retryAfterSeconds(answer.retryAfter)});
+    if (answer.reason == Reason::CustomerUnknown) {
+        response.headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
     const nlohmann::ordered_json body{{"type", "urn:chicoryspar:reason:" + std::string(row.name)},
                                       {"title", row.text},
                                       {"status", response.status},
@@ -150,6 +154,12 @@
         removeHeadersWithPrefix(headers, kHeaderPrefix);
     }
 
+    void removeCustomerHeaders(std::vector<HeaderField> &headers) const override
+    {
+        removeHeader(headers, "Authorization");
+        removeHeader(headers, kCustomerHeader);
+    }
+
     std::string callToken(const CallRequest &) const override
     {
         return {};
@@ -162,6 +172,9 @@
         headers.push_back({"Chicoryspar-Root", toString(context.root)});
         headers.push_back({"Chicoryspar-Class", std::string(rowOf(context.requestClass).name)});
         headers.push_back({"Chicoryspar-Caller", call.request.caller});
+        if (!call.request.customer.empty()) {
+            headers.push_back({std::string(kCustomerHeader), call.request.customer});
+        }
         headers.push_back({"Chicoryspar-Timeout-Ms", std::to_string(toMilliseconds(call.remaining))});
         headers.push_back({"Chicoryspar-Deadline", std::to_string(toMilliseconds(call.deadline.time_since_epoch()))});
     }
@@ -231,6 +244,7 @@
         fields.timeout = std::chrono::milliseconds(*timeout);
     }
     readNumber(request, "Chicoryspar-Retry-Tokens", kMaxRetryTokens, fields.retryTokens, fields.findings);
+    fields.credential = bearerTokenDigest(request.headers);
     return fields;
 }
 
--- a/tests/io_platform_edge.cpp
+++ b/tests/io_platform_edge.cpp
@@ -137,6 +137,35 @@
     EXPECT_EQ(edge().callToken(request), "r");
 }
 
+TEST(SidecarCustomer, KeyIsReadAsItsDigest)
+{
+    // First 16 bytes of the SHA-256 of "abc", FIPS 180-2.
+    const std::string digest = "ba7816bf8f01cfea414140de5dae2223";
+    for (const auto *text : {"Bearer abc", "bearer   abc", "BEARER abc "}) {
+        EXPECT_EQ(edge().readEntry({.headers = {{"authorization", text}}}).credential, digest) << text;
+    }
+    for (const auto *text : {"", "Bearer", "Bearer ", "Bearer   ", "Basic abc", "abc", "Bearerabc"}) {
+        EXPECT_EQ(edge().readEntry({.headers = {{"Authorization", text}}}).credential, std::nullopt) << text;
+    }
+    EXPECT_EQ(edge().readEntry({}).credential, std::nullopt);
+}
+
+TEST(SidecarCustomer, NodeReplacesTheNameAndRemovesTheKey)
+{
+    CallRequest request;
+    request.headers = {{"authorization", "Bearer abc"}, {"x-tenant", "false"}, {"X-Tenant", "false"}, {"Other", "o"}};
+    auto headers = request.headers;
+    edge().removeReservedHeaders(headers);
+    EXPECT_EQ(headers, request.headers) << "without customers these headers are the client's";
+    edge().removeCustomerHeaders(headers);
+    EXPECT_EQ(headers, (std::vector<HeaderField>{{"Other", "o"}}));
+    edge().describeCall({.request = request}, headers);
+    EXPECT_EQ(findHeader(headers, "X-Tenant"), std::nullopt);
+    request.customer = "true";
+    edge().describeCall({.request = request}, headers);
+    EXPECT_EQ(findHeader(headers, "X-Tenant"), "true");
+}
+
 TEST(SidecarAnswer, NotRunNeedsItsHeaderOrStatus421)
 {
     const std::vector<HeaderField> signedHeaders{{"X-Request-Id", "r"}, {"X-Response-Signature", "s"}};
--- a/tests/io_route_table.cpp
+++ b/tests/io_route_table.cpp
@@ -32,6 +32,15 @@
     return text + R"(],"services":[{"name":"s1","healthPath":"/healthz","maxConnections":316}]}})";
 }
 
+/// Returns the translation of a configuration with @a routes and @a more members.
+ParsedObject translate(const std::string &routes, const std::string &more)
+{
+    const auto object =
+        R"({"metadata":{"name":"main","modRevision":12},"spec":{"version":"r7","routes":[)" + routes + R"(],"services":[])" + more + "}}";
+    const auto text = sidecarStoreDialect()->readObject(ObjectKind::RouteTable, object);
+    return text ? parseObject(*text) : ParsedObject();
+}
+
 std::string makeList(const std::string &item, const std::string &hasMore = "false")
 {
     return R"({"items":[)" + item + R"(],"hasMore":)" + hasMore + R"(,"at":12})";
@@ -75,6 +84,77 @@
     EXPECT_TRUE(parsed.object) << toString(parsed.findings);
 }
 
+TEST(RouteTable, SafeAndDownloadRoutesAreIdempotentAndOthersAreNot)
+{
+    for (const auto &[type, isIdempotent] :
+         {std::pair{"safe", true}, {"download", true}, {"unsafe", false}, {"Safe", false}, {"", false}}) {
+        auto route = makeRoute(1);
+        route.replace(route.find("safe"), 4, type);
+        const auto parsed = translate(route, "");
+        ASSERT_TRUE(parsed.object) << toString(parsed.findings);
+        EXPECT_EQ(std::get<RouteTableSpec>(parsed.object->spec).routes.at(0).idempotent, isIdempotent) << type;
+    }
+}
+
+TEST(RouteTable, RoutesArePublicOnlyIfTheySaySo)
+{
+    const auto open = makeRoute(1);
+    const auto parsed = translate(makeRoute(2) + "," + open.substr(0, open.size() - 1) + R"(,"public":true})", "");
+    ASSERT_TRUE(parsed.object) << toString(parsed.findings);
+    const auto &routes = std::get<RouteTableSpec>(parsed.object->spec).routes;
+    EXPECT_FALSE(routes.at(0).isPublic);
+    EXPECT_TRUE(routes.at(1).isPublic);
+}
+
+TEST(RouteTable, KeysBecomeDigestsAndAppearNowhere)
+{
+    const auto parsed = translate(makeRoute(1),
+                                  R"(,"tenants":[{"name":"a","apiKeys":["abc","k-secret"],"priority":1,"ratePerS":2.5,"burst":9},)"
+                                  R"({"name":"b","apiKeys":null,"ratePerS":null},{"name":"c"}])");
+    ASSERT_TRUE(parsed.object) << toString(parsed.findings);
+    const auto &customers = std::get<RouteTableSpec>(parsed.object->spec).customers;
+    ASSERT_TRUE(customers);
+    ASSERT_EQ(customers->size(), 3U);
+    const auto &first = customers->front();
+    EXPECT_EQ(first.keyDigests.at(0), "ba7816bf8f01cfea414140de5dae2223");
+    EXPECT_EQ(first.keyDigests.size(), 2U);
+    EXPECT_EQ(first.priority, 1U);
+    EXPECT_EQ(first.requestsPerSecond, 2.5);
+    EXPECT_EQ(first.burst, 9);
+    EXPECT_TRUE(customers->at(2).keyDigests.empty());
+    EXPECT_EQ(customers->at(2).requestsPerSecond, 0);
+    EXPECT_EQ(parsed.object->text.find("k-secret"), std::string::npos);
+}
+
+// A list that can't be read must neither open the deployment nor lock out its customers: the table in force stays.
+TEST(RouteTable, UnreadableCustomersRefuseTheTable)
+{
+    for (const auto *it : {R"("x")", "{}", "[7]", R"([{"apiKeys":["k-secret"]}])", R"([{"name":"a","apiKeys":"k-secret"}])",
+                           R"([{"name":"a","apiKeys":[7]}])", R"([{"name":"a","priority":"k-secret"}])"}) {
+        const auto parsed = translate(makeRoute(1), std::string(R"(,"tenants":)") + it);
+        EXPECT_FALSE(parsed.object) << it;
+        EXPECT_FALSE(parsed.findings.empty()) << it;
+        EXPECT_EQ(toString(parsed.findings).find("k-secret"), std::string::npos);
+    }
+    EXPECT_FALSE(std::get<RouteTableSpec>(translate(makeRoute(1), "").object->spec).customers);
+    EXPECT_FALSE(std::get<RouteTableSpec>(translate(makeRoute(1), R"(,"tenants":null)").object->spec).customers);
+    EXPECT_TRUE(std::get<RouteTableSpec>(translate(makeRoute(1), R"(,"tenants":[])").object->spec).customers);
+}
+
+TEST(RouteTable, TenThousandCustomersAreAccepted)
+{
+    std::string list;
+    for (std::size_t n = 0; n < 10'000; ++n) {
+        const auto id = std::to_string(n);
+        list.append(n > 0 ? "," : "").append(R"({"name":"customer-)").append(id).append(R"(","apiKeys":["key-)").append(id);
+        list.append(R"(-0123456789"],"priority":1,"ratePerS":2.5,"burst":20})");
+    }
+    ASSERT_LT(list.size(), kStoredObjectBytes);
+    const auto parsed = translate(makeRoute(1), R"(,"tenants":[)" + list + "]");
+    ASSERT_TRUE(parsed.object) << toString(parsed.findings);
+    EXPECT_EQ(std::get<RouteTableSpec>(parsed.object->spec).customers->size(), 10'000U);
+}
+
 TEST(RouteTable, ObjectsOfAnotherFormRaiseNoException)
 {
     const auto dialect = sidecarStoreDialect();
