Entry: requests need the key of a customer where customers are configured

Any client could send requests to any route, and backend servers weren't told whose request they run.

The entry node looks the key up for each request in the configuration in force: an unknown or missing one gets 401 on a route that isn't public. A request without a key that names a running call of the local backend server is that call's child; a request with a key never is. The key and the client's own name are removed at the entry and, for nodes with different configurations, at the gate again. The customer's priority determines the request class, the route's the importance within it. A node without configuration answers 503 as before. /metrics and /v1/status state the number of customers.

--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -253,7 +253,9 @@
 
 OperatorAnswer OperatorApi::answerMetrics(TimePoint, const OperatorRequest &)
 {
-    return {.body = m_context.metrics.renderText(m_context.settings.name), .contentType = "text/plain; version=0.0.4"};
+    const auto customers =
+        "chicoryspar_customers{node=\"" + m_context.settings.name + "\"} " + std::to_string(m_context.config.customers().size()) + "\n";
+    return {.body = m_context.metrics.renderText(m_context.settings.name) + customers, .contentType = "text/plain; version=0.0.4"};
 }
 
 OperatorAnswer OperatorApi::answerDrain(TimePoint now, const OperatorRequest &request)
--- a/src/node/control/operator_views_json.cpp
+++ b/src/node/control/operator_views_json.cpp
@@ -110,6 +110,7 @@
     return {{"configured", sync.isConfigured()},
             {"digest", toHex(sync.digest())},
             {"objects", sync.set().objectsInForce().size()},
+            {"customers", sync.set().customers().size()},
             {"watcher", sync.isWatcher()},
             {"storeDownForMs", down ? Json(toMilliseconds(now - *down)) : Json()},
             {"storeEra", sync.storeEra()},
--- a/src/node/entry/entry_request.cpp
+++ b/src/node/entry/entry_request.cpp
@@ -3,6 +3,8 @@
 
 #include "node/entry/entry_request.h"
 
+#include <chicoryspar/overload.h>
+
 #include <algorithm>
 
 namespace chicoryspar {
@@ -25,6 +27,10 @@
     context.requestClass = input.method.requestClass;
     context.ranksAsRoot = input.ranksAsRoot;
     context.importance = input.config.importanceOf(input.fields.caller);
+    if (input.customer && input.customer->priority) {
+        context.requestClass = requestClassOfPriority(*input.customer->priority);
+        context.importance = customerImportance(input.routePriority, kLabelSteps - 1);
+    }
     const auto budget = input.config.retryPolicyOf(input.fields.service).budget;
     const auto tokens = std::min<std::uint32_t>(budget, input.fields.retryTokens.value_or(std::numeric_limits<std::uint16_t>::max()));
     context.retryTokens = static_cast<std::uint16_t>(tokens);
--- a/src/node/entry/entry_request.h
+++ b/src/node/entry/entry_request.h
@@ -22,6 +22,10 @@
     RequestId newRoot;
     /// Value of CallContext::ranksAsRoot.
     bool ranksAsRoot = false;
+    /// Customer that sent a root request; null for none.
+    const CustomerSpec *customer = nullptr;
+    /// Priority of the route, which decides among requests of the same class whose class the customer's priority determines.
+    std::uint32_t routePriority = 0;
 };
 
 /// Derives a call context from that of the parent call with the depth increased by one, or creates one for a root request.
--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -100,6 +100,8 @@
             .name = route->name, .requestClass = route->requestClass(), .idempotent = route->idempotent, .defaultTimeout = route->timeout};
         target.maxBackendAttempts = route->maxAttempts;
         target.latencyObjective = route->latencyObjective;
+        target.priority = route->priority;
+        target.isPublic = route->isPublic;
         return target;
     }
     const auto *method = m_context.config.findMethod(fields.service, request.verb, path);
@@ -108,6 +110,7 @@
         return target;
     }
     target.method = *method;
+    target.priority = static_cast<std::uint32_t>(RequestClass::Order) - static_cast<std::uint32_t>(method->requestClass);
     return target;
 }
 
@@ -117,6 +120,25 @@
     return mayHaveParent && !fields.parentToken.empty() ? m_context.gate->findParent(fields.parentToken) : std::nullopt;
 }
 
+/// Finds out whose request it is. Only a request without a key can be a call of the backend server if its parent was inferred from a field
+/// that clients may set as well.
+EntryService::Origin EntryService::findOrigin(EntryRole role, const EntryFields &fields, const Target &target) const
+{
+    auto parent = findParent(role, fields);
+    if (role == EntryRole::Backend && !fields.parentToken.empty() && !parent && !fields.isParentInferred) {
+        return {.reason = Reason::Cancelled};
+    }
+    const bool isBackendCall = parent && (!fields.isParentInferred || !fields.credential);
+    if (!m_context.config.requiresCustomers() || isBackendCall) {
+        return {.parent = std::move(parent)};
+    }
+    if (target.isPublic) {
+        return {};
+    }
+    const auto *customer = fields.credential ? m_context.config.findCustomerByDigest(*fields.credential) : nullptr;
+    return {.customer = customer, .reason = customer ? Reason::None : Reason::CustomerUnknown};
+}
+
 std::uint64_t EntryService::beginRequest(EntryRole role, HttpRequest request, HttpHandler::Respond respond)
 {
     const auto now = steadyNow();
@@ -151,20 +173,24 @@
         // The route's timeout, set by the operator, caps the caller's.
         fields.timeout = std::min(fields.timeout.value_or(method.defaultTimeout), method.defaultTimeout);
     }
-    ContextInput input{fields,
-                       method,
-                       m_context.config,
-                       findParent(role, fields),
-                       makeRequestId(wallNow(), m_context.random),
-                       m_context.edge.usesRoutes()};
-    if (role == EntryRole::Backend && !fields.parentToken.empty() && !input.parent && !fields.isParentInferred) {
-        respond(refuseBeforeCall({.reason = Reason::Cancelled,
-                                  .outcome = outcomeOfEntryRefusal(request, Reason::Cancelled),
+    auto origin = findOrigin(role, fields, target);
+    if (origin.reason != Reason::None) {
+        respond(refuseBeforeCall({.reason = origin.reason,
+                                  .outcome = outcomeOfEntryRefusal(request, origin.reason),
                                   .requestClass = method.requestClass,
                                   .service = target.service,
-                                  .detail = "the parent call has ended"}));
+                                  .detail = origin.reason == Reason::Cancelled ? "the parent call has ended" : "",
+                                  .target = fields.host + std::string(pathOf(request.target))}));
         return 0;
     }
+    ContextInput input{fields,
+                       method,
+                       m_context.config,
+                       std::move(origin.parent),
+                       makeRequestId(wallNow(), m_context.random),
+                       m_context.edge.usesRoutes(),
+                       origin.customer,
+                       target.priority};
     const auto key = method.once ? checkKeyHeader(findHeader(request.headers, "Idempotency-Key").value_or("")) : KeyCheck{};
     if (!key.isValid()) {
         respond(refuseBeforeCall({.reason = key.reason,
@@ -190,6 +216,10 @@
     call.headers = std::move(request.headers);
     call.body = std::move(request.body);
     m_context.edge.removeReservedHeaders(call.headers);
+    if (m_context.config.requiresCustomers()) {
+        m_context.edge.removeCustomerHeaders(call.headers);
+        call.customer = origin.customer ? origin.customer->name : std::string();
+    }
     call.key = key.key;
     call.firstAttempt = isFirstAttempt;
     auto &entry = m_entries[id];
--- a/src/node/entry/entry_service.h
+++ b/src/node/entry/entry_service.h
@@ -64,6 +64,19 @@
         /// As RoutedRequest::maxBackendAttempts.
         std::uint32_t maxBackendAttempts = 0;
         Duration latencyObjective{0};
+        /// As RouteSpec::priority.
+        std::uint32_t priority = 0;
+        /// Requests need no key of a customer.
+        bool isPublic = false;
+        Reason reason = Reason::None;
+    };
+
+    /// Whose request it is: a customer's, a call of the local backend server, or neither.
+    struct Origin
+    {
+        const CustomerSpec *customer = nullptr;
+        std::optional<GateService::Parent> parent;
+        /// None, or the reason for refusing the request.
         Reason reason = Reason::None;
     };
 
@@ -91,6 +104,7 @@
     HttpResponse answerReadiness() const;
     Target findTarget(const EntryFields &fields, const HttpRequest &request);
     std::optional<GateService::Parent> findParent(EntryRole role, const EntryFields &fields) const;
+    Origin findOrigin(EntryRole role, const EntryFields &fields, const Target &target) const;
 
     NodeContext &m_context;
     std::array<std::unique_ptr<PortHandler>, static_cast<std::size_t>(EntryRole::Count)> m_handlers;
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -253,6 +253,10 @@
     request.target = call.request.target;
     request.headers = call.request.headers;
     request.body = call.request.body;
+    if (m_context.config.requiresCustomers() || !call.request.customer.empty()) {
+        // The sender has removed them if it had this configuration already.
+        m_context.edge.removeCustomerHeaders(request.headers);
+    }
     const Duration remaining = call.deadline - now;
     m_context.edge.describeCall({.request = call.request,
                                  .instance = m_announcement.instance,
