--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -255,6 +255,7 @@
 OperatorAnswer OperatorApi::answerMetrics(TimePoint, const OperatorRequest &)
 {
     auto text = m_context.metrics.renderText(m_context.settings.name);
+    text += "chicoryspar_customers{node=\"" + m_context.settings.name + "\"} " + std::to_string(m_context.config.customers().size()) + "\n";
     if (m_context.customers) {
         text += m_context.customers->renderMetrics();
     }
