overload: repeat budget of a gate, calls per execution, choice of upstreams for repeats

Cause: retries bounded by a part of the budget at each sender use a fraction of what the deployment allows, and tokens taken first come first served repeat single calls of many requests, whose other calls then fail.

Change: RepeatBudget is the token bucket of one gate. While more repeats are offered than tokens gained, the roots with the highest hashes get them. CallEdges learns the calls per execution and how many executions the called services can take again. The router prefers for repeats the upstreams with the best chance to answer.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace chicoryspar {
@@ -392,6 +393,126 @@
 /// Returns the delay before retry number @a retry (from 1): exponential backoff with full jitter, added to @a retryAfter.
 Duration backoffDelay(Random &random, const BackoffOptions &options, std::uint32_t retry, Duration retryAfter = Duration{0});
 
+// Repeats at a gate: calls that repeat one that may have reached a backend server, and the calls that descend from them.
+
+/// Bound on the repeats that the gates of one service dispatch, all together.
+struct RepeatBudgetOptions
+{
+    /// Repeats allowed per first arrival.
+    double ratio = 0;
+    /// Repeats allowed beyond that in each window, over all gates of the service.
+    double extra = 0;
+    /// Ready gates of the service that this node knows, this one included.
+    std::uint32_t gates = 1;
+};
+
+struct RepeatRequest
+{
+    Rank rank;
+    /// As CallContext::descendsFromRepeat.
+    bool isDescendant = false;
+};
+
+/// Token bucket of one gate for repeats. Its gates divide the extra repeats of a service, so that in each window all of them dispatch at
+/// most RepeatBudgetOptions::ratio repeats per first arrival plus RepeatBudgetOptions::extra. While more repeats are offered than tokens
+/// gained, those of the roots with the highest hashes get them: all gates then serve the same roots, whose calls all succeed, instead of a
+/// few calls of every root.
+class RepeatBudget
+{
+public:
+    /// Starts without tokens, so that a restart grants none.
+    explicit RepeatBudget(TimePoint now);
+
+    /// Applies new settings; to be called again as time passes, because a smaller number of gates takes effect after a delay.
+    void configure(TimePoint now, const RepeatBudgetOptions &options);
+
+    /// Counts a first arrival that is dispatched.
+    void onFirstArrival();
+
+    /// Takes one token for a repeat that is about to be dispatched.
+    /// @returns false when the repeat must not be dispatched
+    bool takeRepeat(TimePoint now, const RepeatRequest &request);
+
+    double tokens() const;
+    double capacity() const;
+    /// Share of the roots whose repeats are served, 0 to 1.
+    double servedShare() const;
+
+private:
+    static constexpr std::size_t kBins = 64;
+
+    void updateGateCount(TimePoint now, std::uint32_t gates);
+    void updateRates(TimePoint now);
+    bool mayTake(const RepeatRequest &request) const;
+
+    RepeatBudgetOptions m_options;
+    TimePoint m_startedAt;
+    TimePoint m_ratesUpdatedAt;
+    /// Number of gates in force, when it was last seen, and the highest smaller number seen since.
+    std::uint32_t m_gates = 1;
+    TimePoint m_gatesSeenAt;
+    std::uint32_t m_fewerGates = 0;
+    double m_capacity = 0;
+    double m_tokens = 0;
+    /// Tokens gained, and repeats offered, since m_ratesUpdatedAt.
+    double m_gained = 0;
+    double m_descendantsOffered = 0;
+    std::array<float, kBins> m_offered{};
+    /// Averages per second: tokens gained, repeats offered that descend from others, and other repeats offered by the hash of their roots.
+    double m_supplyRate = 0;
+    double m_descendantRate = 0;
+    std::array<float, kBins> m_demandRates{};
+    /// Share of the roots, from the highest hash down, whose offered repeats use the supply.
+    double m_servedShare = 1;
+};
+
+/// Learns how many calls one execution at the local backend server makes to each service, and how many repeats these services can take.
+class CallEdges
+{
+public:
+    static constexpr std::size_t kMaxEdges = 16;
+
+    /// What is known of the calls to one service.
+    struct Edge
+    {
+        std::string service;
+        /// Decayed count.
+        double calls = 0;
+        /// Average of the tokens that each gate of the service reported last.
+        double tokensPerGate = 0;
+        std::uint32_t gates = 0;
+        TimePoint tokensReportedAt;
+    };
+
+    explicit CallEdges(TimePoint now);
+
+    /// Counts an execution at the local backend server.
+    void onExecution(TimePoint now);
+
+    /// Counts a call that an execution makes.
+    void onCall(TimePoint now, std::string_view service);
+
+    /// Records the tokens that a gate of @a service reported.
+    /// @param gates ready gates of the service
+    void onTokens(TimePoint now, std::string_view service, std::uint32_t tokens, std::uint32_t gates);
+
+    /// Returns how many executions could be repeated now with the tokens of all services that they call; nothing if that isn't known or
+    /// executions make no calls.
+    std::optional<double> repeatableExecutions(TimePoint now) const;
+
+    std::span<const Edge> edges() const;
+    double callsPerExecution(const Edge &edge) const;
+
+private:
+    Edge *find(std::string_view service);
+    void decay(TimePoint now);
+
+    TimePoint m_decayedAt;
+    double m_executions = 0;
+    std::array<Edge, kMaxEdges> m_edges;
+    std::size_t m_edgeCount = 0;
+};
+
 // Routing.
 
 /// Why the router chose an upstream.
@@ -458,6 +579,8 @@
     std::uint32_t bytes = 0;
     /// The entry node admitted its root request, so that no level refuses it.
     bool isRootAdmitted = false;
+    /// An earlier attempt failed, so the upstreams most likely to answer are preferred.
+    bool isRepeat = false;
 };
 
 struct RouteDecision
@@ -485,6 +608,8 @@
     std::optional<Level> level;
     /// Calls per second that the backend server accepts from all nodes together; nothing for no limit.
     std::optional<double> rateLimit;
+    /// The attempt followed a failed one, see RouteRequest::isRepeat.
+    bool isRepeat = false;
 };
 
 /// State of one upstream for status and explain.
--- a/src/overload/router.cpp
+++ b/src/overload/router.cpp
@@ -15,6 +15,8 @@
 constexpr int kMaxDraws = 8;
 /// Calls stay in the own zone while its mean cost is at most this multiple of the own region's mean cost.
 constexpr double kMaxZoneCostRatio = 1.5;
+/// A repeat avoids upstreams whose chance of answering it is lower than the best one by more than this: it may be the last attempt.
+constexpr double kMaxRepeatChanceGap = 0.1;
 
 enum class Tier : std::uint8_t {
     Zone,
@@ -107,10 +109,20 @@
         return costOf(*second, now) < costOf(first, now) ? *second : first;
     }
 
-    /// Returns the upstreams of @a from that aren't ejected and admit the rank.
+    /// Returns the upstreams of @a from that aren't ejected and admit the rank; for a repeat, those of them most likely to answer it.
     Pool usable(const Pool &from) const
     {
-        return filter(from, [this](const Upstream &upstream) { return !isEjected(upstream, now) && admits(upstream); });
+        const auto pool = filter(from, [this](const Upstream &upstream) { return !isEjected(upstream, now) && admits(upstream); });
+        return request.isRepeat ? mostLikelyToAnswer(pool) : pool;
+    }
+
+    Pool mostLikelyToAnswer(const Pool &from) const
+    {
+        double best = 0;
+        for (std::size_t n = 0; n < from.size; ++n) {
+            best = std::max(best, repeatChance(state.upstreams[from.indexes[n]], now));
+        }
+        return filter(from, [&](const Upstream &upstream) { return repeatChance(upstream, now) >= best - kMaxRepeatChanceGap; });
     }
 
     double meanCost(const Pool &from) const
--- a/src/overload/router_signals.cpp
+++ b/src/overload/router_signals.cpp
@@ -13,6 +13,9 @@
 constexpr double kLatencyRiseWeight = 0.3;
 constexpr double kLatencyFallWeight = 0.1;
 constexpr double kFailureWeight = 0.1;
+/// Weight of one repeat in the rate of refused ones: a sender makes a few repeats per second at one upstream.
+constexpr double kRepeatWeight = 0.2;
+constexpr Duration kRepeatHalfLife = std::chrono::milliseconds(500);
 constexpr std::uint32_t kMinEjectionSamples = 20;
 constexpr double kMinEjectionFailureRate = 0.5;
 /// An upstream is ejected only when its failure rate exceeds the median of its service by this factor.
@@ -112,6 +115,13 @@
     return std::clamp(*upstream.rateLimit * upstream.latencyMicros / kMicrosPerSecond, 1.0, slots);
 }
 
+/// Returns the rate of refused repeats, halved for each kRepeatHalfLife without a repeat, so that the upstream is tried again.
+double repeatRefusalRate(const Upstream &upstream, TimePoint now)
+{
+    const std::chrono::duration<double> elapsed = now - upstream.lastRepeatAt;
+    return upstream.repeatRefusalRate * std::exp2(-elapsed / kRepeatHalfLife);
+}
+
 } // namespace
 
 Upstream *RouterState::find(NodeId node)
@@ -139,6 +149,11 @@
     }
     upstream.lastResultAt = now;
     upstream.failureRate += ((isFailure(result) ? 1.0 : 0.0) - upstream.failureRate) * kFailureWeight;
+    if (result.isRepeat) {
+        const auto rate = repeatRefusalRate(upstream, now);
+        upstream.repeatRefusalRate = rate + ((result.reason == Reason::RetryBudgetSpent ? 1.0 : 0.0) - rate) * kRepeatWeight;
+        upstream.lastRepeatAt = now;
+    }
     ++upstream.sampleCount;
     ejectIfOutlier(state, now, upstream);
 }
@@ -177,6 +192,11 @@
     return std::max(latency, kMinLatencyMicros) * (upstream.inFlight + 1.0) / usableSlots(upstream) * failurePenalty;
 }
 
+double repeatChance(const Upstream &upstream, TimePoint now)
+{
+    return (1 - upstream.failureRate) * (1 - repeatRefusalRate(upstream, now));
+}
+
 bool refillCrossRegionBudget(RouterState &state, TimePoint now, std::uint32_t bytes)
 {
     const auto rate = static_cast<double>(state.options.crossRegionBytesPerSecond);
--- a/src/overload/router_state.h
+++ b/src/overload/router_state.h
@@ -16,6 +16,9 @@
     double latencyMicros = 0;
     /// Moving average of the share of failed attempts, 0 to 1.
     double failureRate = 0;
+    /// Moving average of the share of repeats that the gate refused for want of tokens, 0 to 1.
+    double repeatRefusalRate = 0;
+    TimePoint lastRepeatAt;
     /// Attempts that ended since the last ejection.
     std::uint32_t sampleCount = 0;
     /// Admission level that came back last.
@@ -78,6 +81,9 @@
 /// Returns the expected cost of one more call: latency times calls in flight per slot, raised by the failure rate; lower is better.
 double costOf(const Upstream &upstream, TimePoint now);
 
+/// Returns the chance that @a upstream answers a repeat: its gate has a token left and the attempt doesn't fail.
+double repeatChance(const Upstream &upstream, TimePoint now);
+
 /// Refills the token bucket for cross-region bytes up to @a now.
 /// @returns whether the bucket holds at least @a bytes; nothing is taken from it
 bool refillCrossRegionBudget(RouterState &state, TimePoint now, std::uint32_t bytes);
