gate: bounds repeats where its backend server states its pace

Cause: only the gate beside the backend server sees every arrival there.

Change: GateRepeats takes a token just before a repeat is sent and refuses it with retry-budget-spent, not run; it counts other dispatches as first arrivals and reports tokens on answers. It acts where [repeats] held_by is gates, or auto and the backend server has stated its pace; otherwise nothing changes. CallContext::descendsFromRepeat tells calls below a repeat, which are preferred.

--- a/include/chicoryspar/core.h
+++ b/include/chicoryspar/core.h
@@ -270,6 +270,8 @@
     bool ranksAsRoot = false;
     /// True when this call repeats one that may have reached a backend server, or descends from such a call.
     bool isRepeat = false;
+    /// True when this call descends from a call with isRepeat, so that refusing it would waste work that has been repeated already.
+    bool descendsFromRepeat = false;
 };
 
 constexpr std::uint8_t kMaxImportance = 15;
--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -10,6 +10,22 @@
 
 namespace chicoryspar {
 
+/// Who holds the budget that bounds the retries of the deployment at one service.
+enum class RepeatHolder : std::uint8_t {
+    /// The gates whose backend servers state their pace; for others, the senders.
+    Auto,
+    Gates,
+    Senders,
+    Count,
+};
+
+struct RepeatHolderRow
+{
+    std::string_view name;
+};
+
+const RepeatHolderRow &rowOf(RepeatHolder value);
+
 /// Settings of one node, as read from its INI file.
 struct NodeSettings
 {
@@ -63,6 +79,7 @@
     /// Retries of the deployment allowed on top of that fraction in each fleetRetryWindow.
     std::uint64_t fleetRetryExtra = 0;
     Duration fleetRetryWindow = std::chrono::seconds(10);
+    RepeatHolder repeatsHeldBy = RepeatHolder::Auto;
 
     /// Time for which the record of an idempotency key is kept.
     Duration keyLifetime = std::chrono::seconds(30);
--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -253,7 +253,11 @@
 
 OperatorAnswer OperatorApi::answerMetrics(TimePoint, const OperatorRequest &)
 {
-    return {.body = m_context.metrics.renderText(m_context.settings.name), .contentType = "text/plain; version=0.0.4"};
+    auto text = m_context.metrics.renderText(m_context.settings.name);
+    if (m_context.gate) {
+        text += m_context.gate->repeats().renderMetrics(m_context.settings.name);
+    }
+    return {.body = std::move(text), .contentType = "text/plain; version=0.0.4"};
 }
 
 OperatorAnswer OperatorApi::answerDrain(TimePoint now, const OperatorRequest &request)
--- a/src/node/control/operator_views_json.cpp
+++ b/src/node/control/operator_views_json.cpp
@@ -125,6 +125,23 @@
               {"resumed", counters.resumedPulls}}}};
 }
 
+Json describeRepeats(const GateRepeats &repeats)
+{
+    auto calls = Json::object();
+    for (const auto &it : repeats.callEdges().edges()) {
+        calls[it.service] = repeats.callEdges().callsPerExecution(it);
+    }
+    const auto &counts = repeats.counts();
+    return {{"bounded", repeats.isBounding()},
+            {"tokens", repeats.budget().tokens()},
+            {"capacity", repeats.budget().capacity()},
+            {"servedShare", repeats.budget().servedShare()},
+            {"dispatched", counts.dispatched},
+            {"refused", counts.refused},
+            {"refusedForCallees", counts.refusedForCallees},
+            {"callsPerExecution", calls}};
+}
+
 Json describeGate(const GateService &gate)
 {
     const auto it = gate.snapshot();
@@ -146,7 +163,8 @@
             {"rateLimit", it.rateLimit ? Json(*it.rateLimit) : Json()},
             {"lookupsHeld", it.lookupsHeld},
             {"admitted", it.admitted},
-            {"refused", refused}};
+            {"refused", refused},
+            {"repeats", describeRepeats(gate.repeats())}};
 }
 
 /// Returns the counts of one class by outcome and by reason, leaving out reasons that never occurred, and its latencies.
--- a/src/node/entry/entry_request.cpp
+++ b/src/node/entry/entry_request.cpp
@@ -13,6 +13,7 @@
     context.remaining = input.fields.timeout.value_or(input.method.defaultTimeout);
     if (input.parent) {
         context = input.parent->context;
+        context.descendsFromRepeat = context.isRepeat;
         const Duration left = input.parent->deadline - now;
         context.remaining = std::min(left, input.fields.timeout.value_or(left));
         if (!context.ranksAsRoot) {
--- a/src/node/gate/gate_backend.cpp
+++ b/src/node/gate/gate_backend.cpp
@@ -143,6 +143,7 @@
         m_context.backendChanged.emitChange(now);
     }
     refuseWaitingCalls(now);
+    m_repeats.refresh(now, m_announcement.service);
     m_context.events.flushRefusals(now, m_context.tick());
 }
 
--- a/src/node/gate/gate_policy.cpp
+++ b/src/node/gate/gate_policy.cpp
@@ -105,6 +105,21 @@
     return m_gate.snapshot();
 }
 
+GateRepeats &GateService::repeats()
+{
+    return m_repeats;
+}
+
+const GateRepeats &GateService::repeats() const
+{
+    return m_repeats;
+}
+
+bool GateService::boundsRepeats() const
+{
+    return m_repeats.isBounding();
+}
+
 std::size_t GateService::callCount() const
 {
     return m_calls.size();
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -40,6 +40,7 @@
               .isAnswerTo = [&edge = context.edge](const auto &correlation, const auto &it) { return edge.isAnswerTo(correlation, it); },
           })
     , m_gate(steadyNow(), GateOptions{})
+    , m_repeats(context)
     , m_timer(context.io)
     , m_pauseWatch(bootNow())
 {
@@ -221,6 +222,9 @@
     if (reason == Reason::None && m_dispatchCheck && call.request.key.isValid()) {
         reason = m_dispatchCheck(call.request);
     }
+    if (reason == Reason::None) {
+        reason = m_repeats.admit(now, call.request.context);
+    }
     if (reason != Reason::None) {
         m_gate.cancel(now, ticket);
         endUndispatched(now, ticket, reason, Duration{0});
@@ -345,6 +349,7 @@
     answer.node = m_context.settings.name;
     answer.backend = backendState();
     fillLevels(answer, call.descendantLevel);
+    m_repeats.report(steadyNow(), answer);
     if (answer.outcome != Outcome::Answer) {
         m_context.events.countRefusal(call.request.service, call.request.context.requestClass, answer.reason, call.request.context.root);
     }
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -5,6 +5,7 @@
 
 #include "node/context.h"
 #include "node/gate/backend_client.h"
+#include "node/gate/gate_repeats.h"
 #include "overload/pause_watch.h"
 
 #include <deque>
@@ -77,6 +78,10 @@
     BackendReadiness readiness() const;
     const Announcement &announcement() const;
     GateSnapshot snapshot() const;
+    GateRepeats &repeats();
+    const GateRepeats &repeats() const;
+    /// As GateRepeats::isBounding().
+    bool boundsRepeats() const;
     /// Number of calls that are queued or running.
     std::size_t callCount() const;
 
@@ -151,6 +156,7 @@
     NodeContext &m_context;
     BackendClient m_backend;
     Gate m_gate;
+    GateRepeats m_repeats;
     boost::asio::steady_timer m_timer;
     Announcement m_announcement;
     TimePoint m_announcedAt{};
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -207,6 +207,18 @@
     return std::nullopt;
 }
 
+constexpr std::array<RepeatHolderRow, static_cast<std::size_t>(RepeatHolder::Count)> kRepeatHolders{{{"auto"}, {"gates"}, {"senders"}}};
+
+std::optional<std::string> storeRepeatHolder(NodeSettings &settings, const KeyRow &, const std::string &value)
+{
+    const auto holder = findByName<RepeatHolder>(kRepeatHolders, value);
+    if (!holder) {
+        return "'" + value + "' is none of auto, gates, senders";
+    }
+    settings.repeatsHeldBy = *holder;
+    return std::nullopt;
+}
+
 constexpr std::uint64_t kMebibyte = 1024ULL * 1024;
 
 constexpr std::array kKeys{
@@ -288,6 +300,7 @@
            .number = &NodeSettings::fleetRetryExtra,
            .minValue = 0,
            .maxValue = 1'000'000},
+    KeyRow{"repeats", "held_by", storeRepeatHolder},
     KeyRow{.section = "repeats", .key = "window", .store = storeDurationWithUnit, .duration = &NodeSettings::fleetRetryWindow},
     KeyRow{.section = "keys",
            .key = "lifetime_ms",
@@ -397,6 +410,11 @@
 
 } // namespace
 
+const RepeatHolderRow &rowOf(RepeatHolder value)
+{
+    return kRepeatHolders.at(static_cast<std::size_t>(value));
+}
+
 LoadedSettings parseNodeSettings(const std::string &text, const std::string &place)
 {
     LoadedSettings loaded;
--- a/src/wire/pack.h
+++ b/src/wire/pack.h
@@ -237,7 +237,7 @@
 void visitFields(Visitor &visitor, CallContext &value)
 {
     visitor(value.root, value.requestClass, value.importance, value.depth, value.retryTokens, value.remaining, value.ranksAsRoot,
-            value.isRepeat);
+            value.isRepeat, value.descendsFromRepeat);
 }
 
 template<typename Visitor>
--- a/tests/io_backend_signals.cpp
+++ b/tests/io_backend_signals.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// Guards the limits that a backend server states in its answers: requests per second that it accepts, and that it leaves.
+/// Guards the limits that a backend server states in its answers: requests per second that it accepts, and that it leaves. Also guards the
+/// bound on repeats, which a gate holds where its backend server states its pace.
 
 #include "node/clock.h"
 #include "node/gate/gate_service.h"
@@ -140,6 +141,16 @@
         return request;
     }
 
+    CallAnswer call(bool isRepeat)
+    {
+        auto request = makeRequest();
+        request.context.isRepeat = isRepeat;
+        CallAnswer end;
+        gate->beginCall(std::move(request), [&](CallAnswer answer) { end = std::move(answer); });
+        run(50ms);
+        return end;
+    }
+
     /// Offers calls at a constant rate; the answers are added to @a answers.
     void offer(int callsPerSecond, Duration duration)
     {
@@ -275,3 +286,39 @@
     EXPECT_EQ(answers.back().reason, Reason::Draining);
     EXPECT_EQ(gate->readiness(), BackendReadiness::Draining);
 }
+
+// Repeats that each sender bounds by itself use a fraction of what the deployment allows.
+TEST_F(BackendSignals, GateRefusesRepeatsBeyondItsTokens)
+{
+    settings.fleetRetryFraction = 0.2;
+    settings.fleetRetryExtra = 10;
+    settings.repeatsHeldBy = RepeatHolder::Gates;
+    run(1ms);
+    EXPECT_EQ(call(true).reason, Reason::RetryBudgetSpent);
+    for (int n = 0; n < 5; ++n) {
+        EXPECT_EQ(call(false).outcome, Outcome::Answer);
+    }
+    backend.requestCount = 0;
+    EXPECT_EQ(call(true).outcome, Outcome::Answer);
+    const auto refused = call(true);
+    EXPECT_EQ(refused.outcome, Outcome::NotRun);
+    EXPECT_EQ(refused.reason, Reason::RetryBudgetSpent);
+    ASSERT_TRUE(refused.load);
+    EXPECT_EQ(refused.load->repeatTokens, 0U);
+    EXPECT_EQ(backend.requestCount, 1U);
+    EXPECT_EQ(gate->repeats().counts().refused, 2U);
+}
+
+// Deployments whose backend servers state no pace, or whose senders hold the budget, are served as before.
+TEST_F(BackendSignals, GateBoundsNoRepeatsElsewhere)
+{
+    settings.fleetRetryFraction = 0.2;
+    for (const auto holder : {RepeatHolder::Auto, RepeatHolder::Senders}) {
+        settings.repeatsHeldBy = holder;
+        for (int n = 0; n < 3; ++n) {
+            const auto answer = call(true);
+            EXPECT_EQ(answer.outcome, Outcome::Answer);
+            EXPECT_FALSE(answer.load);
+        }
+    }
+}
--- a/tests/io_settings.cpp
+++ b/tests/io_settings.cpp
@@ -48,3 +48,11 @@
     EXPECT_EQ(maxDrainTime(parse("[stop]\nkill_after = 1s\n")), 0s);
     EXPECT_EQ(maxDrainTime(parse("[stop]\ndrain_ms = 700\n")), 700ms);
 }
+
+TEST(Settings, HolderOfTheRepeatBudget)
+{
+    EXPECT_EQ(NodeSettings().repeatsHeldBy, RepeatHolder::Auto);
+    EXPECT_EQ(parse("[repeats]\nheld_by = gates\n").repeatsHeldBy, RepeatHolder::Gates);
+    EXPECT_EQ(parse("[repeats]\nheld_by = senders\n").repeatsHeldBy, RepeatHolder::Senders);
+    EXPECT_EQ(parseNodeSettings(kRequired + std::string("[repeats]\nheld_by = nodes\n"), "test").findings.size(), 1U);
+}
