dispatcher: marks repeats and leaves their bound to the gates that report tokens

Cause: the sender's own budgets kept most of the allowed retries from being sent.

Change: an attempt after one that may have reached a backend server is marked. Towards services whose gates report tokens the sender asks neither its ratio budget nor the tokens of the root, and retries at once; maxAttempts, deadline and mayRetry() still bind. A retry refused for want of tokens ends the call as the attempt before it. Calls that executions make are counted for the gate.

--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -65,6 +65,10 @@
     Router router;
     /// Retry budget of this node for the service, used when the settings bound retries by service.
     RatioBudget retryRatio;
+    /// Ready upstreams.
+    std::uint32_t readyGates = 0;
+    /// The last gate that answered bounds the repeats that it dispatches.
+    bool gatesBoundRepeats = false;
 };
 
 /// A call in progress and the state of its attempts.
@@ -89,6 +93,8 @@
     std::uint32_t retries = 0;
     /// Attempts that may have reached a backend server.
     std::uint32_t backendAttempts = 0;
+    /// Reason why the last of these failed.
+    Reason backendFailure = Reason::None;
     /// Highest admission level of descendant calls that the answers reported.
     Level descendantLevel;
     bool isAttemptPending = false;
@@ -135,7 +141,8 @@
 {
     auto &service = m_services[name];
     if (!service) {
-        service = std::make_unique<Service>(Service{Router(now, RouterOptions{}), RatioBudget(now, retryRatioOptions())});
+        service =
+            std::make_unique<Service>(Service{.router = Router(now, RouterOptions{}), .retryRatio = RatioBudget(now, retryRatioOptions())});
         refreshRouter(now, name, *service);
     }
     return *service;
@@ -163,10 +170,12 @@
                                            .slowStart = policy.slowStart,
                                            .subsetKey = m_context.self.value});
     std::vector<Candidate> candidates;
+    service.readyGates = 0;
     if (m_context.membership) {
         for (const auto it : m_context.membership->members()) {
             if (it->state == MemberState::Alive && it->info.service == name) {
                 candidates.push_back(toCandidate(it->info));
+                service.readyGates += candidates.back().ready ? 1 : 0;
             }
         }
     }
@@ -196,7 +205,12 @@
     call->routed = std::move(request);
     call->handler = std::move(handler);
     m_calls[id] = std::move(call);
-    retryRatioOf(steadyNow(), *m_calls[id]).onFirstAttempt();
+    const auto now = steadyNow();
+    retryRatioOf(now, *m_calls[id]).onFirstAttempt();
+    const auto &sent = m_calls[id]->routed.request;
+    if (sent.context.depth > 0) {
+        m_context.gate->repeats().onChildCall(now, sent.service);
+    }
     startAttempt(id);
     return m_calls.contains(id) ? id : 0;
 }
@@ -229,11 +243,14 @@
     }
     const auto &request = call.routed.request;
     const auto bytes = static_cast<std::uint32_t>(request.body.size());
-    auto &router = serviceOf(now, request.service).router;
-    const auto decision =
-        router.choose(now, m_context.random,
-                      RouteRequest{.rank = makeRank(request.context), .bytes = bytes, .isRootAdmitted = isRootAdmitted(request.context)},
-                      call.triedNodes);
+    auto &service = serviceOf(now, request.service);
+    auto &router = service.router;
+    const auto decision = router.choose(now, m_context.random,
+                                        RouteRequest{.rank = makeRank(request.context),
+                                                     .bytes = bytes,
+                                                     .isRootAdmitted = isRootAdmitted(request.context),
+                                                     .isRepeat = service.gatesBoundRepeats && call.backendAttempts > 0},
+                                        call.triedNodes);
     if (!decision.node.isValid()) {
         refuse(id, decision.refusal, decision.retryAfter);
         return;
@@ -254,6 +271,7 @@
     auto request = call.routed.request;
     request.context.remaining = call.routed.deadline - now;
     request.context.retryTokens = call.budget.grant(attempt);
+    request.context.isRepeat = request.context.isRepeat || call.backendAttempts > 0;
     const auto known = m_knownBackends.find(node);
     request.knownBackend = known == m_knownBackends.end() ? std::nullopt : std::optional(known->second);
     if (call.routed.onDispatch) {
@@ -290,6 +308,7 @@
         m_levelCache.record(now, call.routed.methodKey, Level{answer.levelBelow}, makeRank(call.routed.request.context));
     }
     serviceOf(now, service).router.onResult(now, call.node, result);
+    recordRepeatTokens(now, service, answer);
     if (answer.tokensReturned) {
         call.budget.returnTokens(call.attempt, answer.retryTokensLeft);
     } else {
@@ -297,6 +316,19 @@
     }
 }
 
+void Dispatcher::recordRepeatTokens(TimePoint now, const std::string &name, const CallAnswer &answer)
+{
+    if (!answer.hasLevels) {
+        return;
+    }
+    const auto tokens = answer.load ? answer.load->repeatTokens : std::nullopt;
+    auto &service = serviceOf(now, name);
+    service.gatesBoundRepeats = tokens && m_context.settings.repeatsHeldBy != RepeatHolder::Senders;
+    if (tokens) {
+        m_context.gate->repeats().onTokens(now, name, *tokens, service.readyGates);
+    }
+}
+
 /// Keeps what @a answer states about the backend server of @a node. A node that has restarted learns it from the next call.
 void Dispatcher::recordBackendState(NodeId node, const CallAnswer &answer)
 {
@@ -318,11 +350,25 @@
     call.isAttemptPending = false;
     recordResult(now, call, answer);
     call.mayHaveRun = call.mayHaveRun || answer.outcome == Outcome::Unknown;
-    call.backendAttempts += hasReachedBackend(answer) ? 1 : 0;
+    if (hasReachedBackend(answer)) {
+        ++call.backendAttempts;
+        call.backendFailure = answer.reason;
+    } else if (answer.reason == Reason::RetryBudgetSpent && call.backendAttempts > 0) {
+        // The call ends as its last attempt at a backend server did.
+        answer.reason = call.backendFailure;
+        answer.retryAfter = Duration{0};
+        finishFailed(id, call, std::move(answer));
+        return;
+    }
     if (answer.outcome != Outcome::Answer && reserveRetry(now, call, answer)) {
         scheduleRetry(id, call, answer);
         return;
     }
+    finishFailed(id, call, std::move(answer));
+}
+
+void Dispatcher::finishFailed(std::uint64_t id, const Call &call, CallAnswer answer)
+{
     if (answer.outcome == Outcome::NotRun && call.mayHaveRun) {
         answer.outcome = Outcome::Unknown;
     }
@@ -341,6 +387,9 @@
     if (call.routed.maxBackendAttempts > 0 && call.backendAttempts >= call.routed.maxBackendAttempts) {
         return false;
     }
+    if (hasReachedBackend(answer) && serviceOf(now, call.routed.request.service).gatesBoundRepeats) {
+        return call.routed.maxBackendAttempts > 0 || call.attempt < kMaxAttemptsBeforeBackend;
+    }
     return retryRatioOf(now, call).takeRetry(now) && call.budget.takeRetry();
 }
 
@@ -351,6 +400,13 @@
         return;
     }
     const auto retryAfter = answer.retryAfter;
+    const bool isBoundedByGate = hasReachedBackend(answer) && serviceOf(steadyNow(), call.routed.request.service).gatesBoundRepeats;
+    if (isBoundedByGate && retryAfter == Duration{0}) {
+        // The budget of the gates bounds the retries, so spreading them over time would only cost latency.
+        m_context.metrics.countRetry();
+        boost::asio::post(m_context.io, [this, id] { startAttempt(id); });
+        return;
+    }
     const auto &policy = m_context.config.retryPolicyOf(call.routed.request.service);
     const auto delay =
         backoffDelay(m_context.random, BackoffOptions{.base = policy.backoff, .max = policy.maxBackoff}, ++call.retries, retryAfter);
