--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -259,6 +259,9 @@
     if (m_context.customers) {
         text += m_context.customers->renderMetrics();
     }
+    if (m_context.gate) {
+        text += m_context.gate->repeats().renderMetrics(m_context.settings.name);
+    }
     return {.body = std::move(text), .contentType = "text/plain; version=0.0.4"};
 }
 
