--- a/tests/io_platform_edge.cpp
+++ b/tests/io_platform_edge.cpp
@@ -4,7 +4,10 @@
 
 #include "platform/platform.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 using namespace chicoryspar;
 using namespace std::chrono_literals;
@@ -172,6 +175,42 @@
     EXPECT_TRUE(edge().isAnswerTo("", {.headers = {}}));
 }
 
+// Guards against a figure read from another field, or from nonsense.
+TEST(SidecarAnswer, ReadsTwoToFourFiguresOfLoad)
+{
+    const auto read = [](const std::string &text) { return edge().readSignals({.headers = {{"x-server-load", text}}}).load; };
+    const auto full = read("3, 0 ,8,\t250");
+    ASSERT_TRUE(full);
+    EXPECT_EQ(full->running, 3U);
+    EXPECT_EQ(full->waiting, 0U);
+    EXPECT_EQ(full->slots, 8U);
+    EXPECT_EQ(full->pacePercent, 250U);
+    ASSERT_TRUE(read("3,1"));
+    EXPECT_EQ(read("3,1")->waiting, 1U);
+    EXPECT_FALSE(read("3,1,8")->pacePercent);
+    for (const auto *text : {"", "3", "3,", ",3", "3,0,8,100,1", "3,0,8,", "3,0,8,-1", "3,0,8,1.5", "3,0,8,0", "3 0 8", "3,0,4294967296"}) {
+        EXPECT_FALSE(read(text)) << text;
+    }
+    EXPECT_FALSE(edge().readSignals({}).load);
+}
+
+// Guards against crashes and invented loads: whatever is read must be what the text says.
+RC_GTEST_PROP(SidecarAnswer, AnyTextOfLoadIsReadOrIgnored, ())
+{
+    const auto text = *rc::gen::container<std::string>(rc::gen::elementOf(std::string("0123456789, ,,-.x\t")));
+    const auto load = edge().readSignals({.headers = {{"X-Server-Load", text}}}).load;
+    if (load) {
+        auto written = std::to_string(load->running) + "," + std::to_string(load->waiting);
+        const auto commas = std::count(text.begin(), text.end(), ',');
+        written += commas >= 2 ? "," + std::to_string(load->slots) : "";
+        written += commas >= 3 ? "," + std::to_string(load->pacePercent.value()) : "";
+        RC_ASSERT(edge().readSignals({.headers = {{"X-Server-Load", written}}}).load.has_value());
+        RC_ASSERT(commas >= 1);
+        RC_ASSERT(commas <= 3);
+        RC_ASSERT(text.find_first_of("-.x") == std::string::npos);
+    }
+}
+
 TEST(SidecarResponse, UnknownOutcomeNeverGives503Or429)
 {
     for (std::size_t n = 1; n < static_cast<std::size_t>(Reason::Count); ++n) {
