Router: place calls by expected completion where upstreams report load

Cause: the cost of an upstream was its past latency times this node's calls there. It can't tell requests by their work, nor an upstream that has become slow since its last answer. Change: WorkEstimator learns the work of requests by method and body size in a fixed table, LoadMeter the outstanding work of a gate and the age of the stated pace. Upstreams whose answers carry a report are compared by outstanding work, expected service time and losses; reports lose their weight with their age. Reported figures are clamped, and the pace is used only where it predicts measured service times no worse than the long-run speed. Upstreams without reports are compared as before.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -392,6 +392,131 @@
 /// Returns the delay before retry number @a retry (from 1): exponential backoff with full jitter, added to @a retryAfter.
 Duration backoffDelay(Random &random, const BackoffOptions &options, std::uint32_t retry, Duration retryAfter = Duration{0});
 
+// Expected work and load.
+
+/// Load of a gate and its backend server, as reported to the senders of calls.
+struct LoadReport
+{
+    /// Expected time, per slot, to complete the calls that run and wait there.
+    Duration outstandingWork{0};
+    /// Time that work takes there now, in percent of its usual time; 0 for none stated.
+    std::uint32_t pacePercent = 0;
+    /// Time since the backend server stated its pace.
+    Duration paceAge{0};
+};
+
+/// Returns a key for WorkEstimator: requests of one method or route, in classes of body size that differ by a factor of four.
+std::uint64_t workKeyOf(std::uint64_t methodKey, std::size_t bodyBytes);
+
+/// Learns the work of requests of one service, as service time divided by the pace at that time. Fixed size and set-associative: a new key
+/// evicts the least recently updated one of its set.
+class WorkEstimator
+{
+public:
+    /// Records the work of one request that ran.
+    void record(std::uint64_t key, Duration work);
+
+    /// Returns the exponentially decayed mean work of the key, and that of the whole service for an unknown key; zero before the first
+    /// sample.
+    Duration expected(std::uint64_t key) const;
+
+    /// Returns the decayed mean of the ratio of recorded to expected work; 1 while the estimates are right on average.
+    double meanRatio() const;
+
+private:
+    struct Entry
+    {
+        std::uint64_t key = 0;
+        float meanMicros = 0;
+        std::uint32_t samples = 0;
+        std::uint32_t updatedAt = 0;
+    };
+    static constexpr std::size_t kSets = 32;
+    static constexpr std::size_t kWays = 4;
+
+    const Entry *find(std::uint64_t key) const;
+
+    std::array<Entry, kSets * kWays> m_entries{};
+    std::uint32_t m_recordCount = 0;
+    float m_meanMicros = 0;
+    float m_meanRatio = 1;
+};
+
+/// How an AgedFigure loses its weight.
+struct AgingRule
+{
+    /// Age at which a report has lost its whole weight, and half of it at half this age.
+    Duration lifetime{0};
+    /// Time constant of the mean of reports.
+    Duration meanTime{0};
+};
+
+/// Slow periods of backend servers last some 600 ms, so the probability that one still lasts falls in proportion to the age of the report.
+constexpr AgingRule kPaceAging{.lifetime = std::chrono::milliseconds(600), .meanTime = std::chrono::seconds(10)};
+
+/// A figure that is reported now and then. A report loses its weight in proportion to its age, in favour of the mean of the reports before.
+struct AgedFigure
+{
+    float value = 0;
+    float mean = 0;
+    /// When the value was true; TimePoint{} before the first report.
+    TimePoint recordedAt;
+
+    /// Records a report that was true at @a at; one older than the last is ignored.
+    void record(TimePoint at, double reported, const AgingRule &rule);
+    double valueAt(TimePoint now, const AgingRule &rule) const;
+    /// Returns whether there was a report within the last kMaxSilence.
+    bool isCurrent(TimePoint now) const;
+
+    /// Time after the last report from which the source counts as one that doesn't report.
+    static constexpr Duration kMaxSilence = std::chrono::seconds(10);
+};
+
+/// Call that runs or waits at a gate, as input to LoadMeter.
+struct OutstandingCall
+{
+    Duration expectedWork{0};
+    /// Nothing while the call waits.
+    std::optional<TimePoint> startedAt;
+};
+
+/// Measures the outstanding work of one gate from the pace that its backend server states. Without a pace it reports nothing.
+class LoadMeter
+{
+public:
+    /// Records the pace that the backend server stated in an answer.
+    void setPace(TimePoint now, std::uint32_t percent);
+
+    /// Discards the pace, for a new instance of the backend server.
+    void restart();
+
+    /// Returns whether the backend server has stated its pace lately.
+    bool hasPace(TimePoint now) const;
+
+    /// Returns the factor by which requests take longer now than usual. The time for which requests wait for their own child calls doesn't
+    /// depend on the pace, so the pace that the backend server stated counts for the rest only.
+    double paceAt(TimePoint now) const;
+
+    Duration expectedWork(std::uint64_t key) const;
+
+    /// Records a request that was answered.
+    /// @param childTime part of @a serviceTime during which the request waited for its child calls
+    void recordService(TimePoint now, std::uint64_t key, Duration serviceTime, Duration childTime);
+
+    /// Returns the expected time for which @a call will occupy a slot from now on.
+    Duration remainingOf(TimePoint now, const OutstandingCall &call) const;
+
+    /// Returns the report on a gate with @a slots.
+    /// @param remaining sum of remainingOf() over the calls that it holds
+    LoadReport report(TimePoint now, Duration remaining, std::uint32_t slots) const;
+
+private:
+    WorkEstimator m_work;
+    AgedFigure m_pace{.mean = 1};
+    /// Decayed mean of the share of service time during which requests wait for their child calls.
+    double m_childShare = 0;
+};
+
 // Routing.
 
 /// Why the router chose an upstream.
@@ -458,6 +583,8 @@
     std::uint32_t bytes = 0;
     /// The entry node admitted its root request, so that no level refuses it.
     bool isRootAdmitted = false;
+    /// Expected work at an upstream of average speed; used where upstreams report their load.
+    Duration expectedWork{0};
 };
 
 struct RouteDecision
@@ -485,6 +612,12 @@
     std::optional<Level> level;
     /// Calls per second that the backend server accepts from all nodes together; nothing for no limit.
     std::optional<double> rateLimit;
+    /// Time for which the backend server ran the request; zero when unknown.
+    Duration serviceTime{0};
+    /// As in the RouteRequest.
+    Duration expectedWork{0};
+    /// Load that the upstream reported.
+    std::optional<LoadReport> load;
 };
 
 /// State of one upstream for status and explain.
@@ -501,6 +634,18 @@
     bool ready = false;
     /// Share of its full weight during slow start, 0 to 1.
     double weight = 1;
+    /// The upstream has reported its load lately; the fields below are set only then.
+    bool reportsLoad = false;
+    /// Outstanding work per slot, aged and with what this node has sent since the report.
+    Duration outstandingWork{0};
+    /// Factor by which work takes longer than usual, aged; 1 is usual.
+    double pace = 1;
+    /// Age of the last pace that the upstream stated.
+    Duration paceAge{0};
+    /// Measured speed relative to the mean of the upstreams that this node uses.
+    double speed = 1;
+    /// Decayed share of calls that were lost or shed there.
+    double lossRate = 0;
 };
 
 /// Chooses an upstream of one service for each call.
@@ -527,7 +672,8 @@
 
     /// Counts an attempt as in flight. Each needs one onResult().
     /// @param bytes size of the request, which counts against the cap on cross-region bytes
-    void onSent(TimePoint now, NodeId node, std::uint32_t bytes = 0);
+    /// @param expectedWork as in the RouteRequest
+    void onSent(TimePoint now, NodeId node, std::uint32_t bytes = 0, Duration expectedWork = Duration{0});
 
     /// Ends an attempt and updates the signals of its upstream.
     void onResult(TimePoint now, NodeId node, const RouteResult &result);
--- a/src/overload/router.cpp
+++ b/src/overload/router.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(500);
 constexpr int kMaxDraws = 8;
+constexpr std::uint64_t kExploringCalls = 64;
 /// Calls stay in the own zone while its mean cost is at most this multiple of the own region's mean cost.
 constexpr double kMaxZoneCostRatio = 1.5;
 
@@ -93,18 +94,23 @@
         return state.upstreams[from.indexes[drawBelow(random, from.size)]];
     }
 
-    /// Returns the cheaper of two random upstreams (power of two choices).
+    /// Returns the cheaper of two random upstreams (power of two choices). Where upstreams report their load, one call in kExploringCalls
+    /// goes to the first of them, so that what is known of each stays current.
     const Upstream &pickByCost(const Pool &from) const
     {
         const auto &first = draw(from);
-        if (from.size == 1) {
+        if (from.size == 1 || (hasLoadCost(first, now) && drawBelow(random, kExploringCalls) == 0)) {
             return first;
         }
         const auto *second = &draw(from);
         for (int n = 0; n < kMaxDraws && second == &first; ++n) {
             second = &draw(from);
         }
-        return costOf(*second, now) < costOf(first, now) ? *second : first;
+        const bool usesLoad = hasLoadCost(first, now) && hasLoadCost(*second, now);
+        const auto cost = [this, usesLoad](const Upstream &upstream) {
+            return usesLoad ? placementCost(upstream.load, now, loadUseOf(upstream, request.expectedWork)) : costOf(upstream, now);
+        };
+        return cost(*second) < cost(first) ? *second : first;
     }
 
     /// Returns the upstreams of @a from that aren't ejected and admit the rank.
@@ -113,11 +119,12 @@
         return filter(from, [this](const Upstream &upstream) { return !isEjected(upstream, now) && admits(upstream); });
     }
 
-    double meanCost(const Pool &from) const
+    double meanCost(const Pool &from, bool usesLoad) const
     {
         double sum = 0;
         for (std::size_t n = 0; n < from.size; ++n) {
-            sum += costOf(state.upstreams[from.indexes[n]], now);
+            const auto &upstream = state.upstreams[from.indexes[n]];
+            sum += usesLoad ? expectedCompletion(upstream.load, now, loadUseOf(upstream, request.expectedWork)) : costOf(upstream, now);
         }
         return sum / static_cast<double>(from.size);
     }
@@ -131,7 +138,8 @@
         const auto zone = filter(region, [this](const Upstream &upstream) {
             return tierOf(state.options, upstream.candidate) == Tier::Zone && !isSaturatedForRequest(upstream);
         });
-        if (zone.size > 0 && meanCost(zone) <= meanCost(region) * kMaxZoneCostRatio) {
+        const bool usesLoad = filter(region, [this](const Upstream &upstream) { return hasLoadCost(upstream, now); }).size == region.size;
+        if (zone.size > 0 && meanCost(zone, usesLoad) <= meanCost(region, usesLoad) * kMaxZoneCostRatio) {
             return RouteDecision{.node = pickByCost(zone).candidate.node, .route = RouteReason::OwnZone};
         }
         const auto &upstream = pickByCost(region);
@@ -315,7 +323,7 @@
     return Choice{*m_state, now, random, request, exclude}.run();
 }
 
-void Router::onSent(TimePoint now, NodeId node, std::uint32_t bytes)
+void Router::onSent(TimePoint now, NodeId node, std::uint32_t bytes, Duration expectedWork)
 {
     auto &state = *m_state;
     auto *upstream = state.find(node);
@@ -324,6 +332,7 @@
     }
     ++upstream->inFlight;
     upstream->lastSentAt = now;
+    recordSent(upstream->load, now, upstream->inFlight, expectedWork);
     chargeCrossRegionBytes(state, now, *upstream, bytes);
 }
 
@@ -371,6 +380,15 @@
             .ready = upstream.candidate.ready,
             .weight = slowStartWeight(state, upstream, now),
         };
+        if (hasLoadCost(upstream, now)) {
+            const auto &load = upstream.load;
+            out[it].reportsLoad = true;
+            out[it].outstandingWork = Duration(static_cast<std::int64_t>(outstandingMicros(load, now, upstream.candidate.slots)));
+            out[it].pace = load.pace.valueAt(now, kPaceAging);
+            out[it].paceAge = now - load.pace.recordedAt;
+            out[it].speed = 1 / load.pacedRatio;
+            out[it].lossRate = load.lossRate;
+        }
     }
     return n;
 }
--- a/src/overload/router_signals.cpp
+++ b/src/overload/router_signals.cpp
@@ -140,6 +140,7 @@
     upstream.lastResultAt = now;
     upstream.failureRate += ((isFailure(result) ? 1.0 : 0.0) - upstream.failureRate) * kFailureWeight;
     ++upstream.sampleCount;
+    recordLoadResult(upstream.load, now, result);
     ejectIfOutlier(state, now, upstream);
 }
 
@@ -177,6 +178,16 @@
     return std::max(latency, kMinLatencyMicros) * (upstream.inFlight + 1.0) / usableSlots(upstream) * failurePenalty;
 }
 
+bool hasLoadCost(const Upstream &upstream, TimePoint now)
+{
+    return reportsLoad(upstream.load, now);
+}
+
+LoadUse loadUseOf(const Upstream &upstream, Duration expectedWork)
+{
+    return {.slots = upstream.candidate.slots, .inFlight = upstream.inFlight, .expectedWork = expectedWork};
+}
+
 bool refillCrossRegionBudget(RouterState &state, TimePoint now, std::uint32_t bytes)
 {
     const auto rate = static_cast<double>(state.options.crossRegionBytesPerSecond);
--- a/src/overload/router_state.h
+++ b/src/overload/router_state.h
@@ -3,7 +3,7 @@
 /// @file
 /// Internal state of a Router and the signals that it derives for each upstream.
 
-#include <chicoryspar/overload.h>
+#include "overload/router_load.h"
 
 namespace chicoryspar {
 
@@ -33,6 +33,7 @@
     TimePoint joinedAt;
     /// Calls per second that the backend server accepts; nothing for no limit.
     std::optional<double> rateLimit;
+    LoadSignals load;
 };
 
 /// Subset of RouterState::upstreams, by index.
@@ -78,6 +79,12 @@
 /// Returns the expected cost of one more call: latency times calls in flight per slot, raised by the failure rate; lower is better.
 double costOf(const Upstream &upstream, TimePoint now);
 
+/// Returns whether the cost of an upstream is based on its load reports. Such a cost is never compared with one of costOf().
+bool hasLoadCost(const Upstream &upstream, TimePoint now);
+
+/// Returns the use that a request with @a expectedWork would make of an upstream, for expectedCompletion() and placementCost().
+LoadUse loadUseOf(const Upstream &upstream, Duration expectedWork);
+
 /// Refills the token bucket for cross-region bytes up to @a now.
 /// @returns whether the bucket holds at least @a bytes; nothing is taken from it
 bool refillCrossRegionBudget(RouterState &state, TimePoint now, std::uint32_t bytes);
--- /dev/null
+++ b/tests/test_overload_placement.cpp
@@ -0,0 +1,300 @@
+/// @file
+/// Tests of the placement by expected completion: a replay of two loads in virtual time against the cost without load reports, and the
+/// bounds on what old, false or missing reports can do.
+
+#include <chicoryspar/overload.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <queue>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace chicoryspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{1h};
+constexpr Duration kOneWay = 900us;
+
+/// One load of the replay.
+struct Load
+{
+    const char *name = "";
+    std::vector<double> speeds;
+    std::uint32_t slots = 8;
+    std::size_t senders = 1;
+    std::uint32_t zones = 1;
+    double callsPerSecond = 0;
+    Duration meanWork{0};
+    /// Share of calls with seven times the work of the others.
+    double heavyShare = 0;
+    /// Share of time during which a host is slowFactor times slower, for stretches of 600 ms.
+    double slowShare = 0;
+    double slowFactor = 1;
+    Duration length = 60s;
+};
+
+struct Figures
+{
+    double p50Ms = 0;
+    double p99Ms = 0;
+    double inTime = 0;
+    /// Calls in flight per slot, busiest host over mean, averaged over time.
+    double busiest = 0;
+};
+
+/// Replays one load with or without load reports.
+class Replay
+{
+public:
+    Replay(const Load &load, bool reportsLoad, std::uint64_t seed)
+        : m_load(load)
+        , m_reportsLoad(reportsLoad)
+        , m_random(seed)
+        , m_hosts(load.speeds.size())
+        , m_estimators(load.senders)
+    {
+        std::vector<Candidate> candidates;
+        for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+            candidates.push_back({.node = {n + 1}, .zone = static_cast<std::uint32_t>(n) % load.zones, .slots = load.slots});
+            drawSlowStretches(m_hosts[n]);
+        }
+        for (std::size_t n = 0; n < load.senders; ++n) {
+            m_routers.emplace_back(kStart, RouterOptions{.zone = static_cast<std::uint32_t>(n) % load.zones});
+            m_routers.back().setCandidates(kStart, candidates);
+        }
+    }
+
+    Figures run()
+    {
+        const auto end = kStart + m_load.length;
+        at(kStart, [this] { arrive(); });
+        at(kStart + kWarmUp, [this] { sampleLoad(); });
+        while (!m_events.empty() && m_events.top().time < end) {
+            const auto event = m_events.top();
+            m_events.pop();
+            m_now = event.time;
+            event.action();
+        }
+        std::sort(m_latencies.begin(), m_latencies.end());
+        const auto quantile = [this](double q) {
+            return std::chrono::duration<double, std::milli>(m_latencies[static_cast<std::size_t>(q * (m_latencies.size() - 1))]).count();
+        };
+        const auto inTime = std::upper_bound(m_latencies.begin(), m_latencies.end(), Duration(1500ms)) - m_latencies.begin();
+        const Figures result{quantile(0.5), quantile(0.99), static_cast<double>(inTime) / static_cast<double>(m_latencies.size()),
+                             m_busiestSum / m_sampleCount};
+        std::printf("%-22s %-8s p50 %6.1f ms  p99 %7.1f ms  within 1.5 s %.4f  busiest/mean %.3f\n", m_load.name,
+                    m_reportsLoad ? "reports" : "today", result.p50Ms, result.p99Ms, result.inTime, result.busiest);
+        return result;
+    }
+
+private:
+    static constexpr Duration kWarmUp = 10s;
+    struct Event
+    {
+        TimePoint time;
+        std::uint64_t number;
+        std::function<void()> action;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(time, number) > std::tie(other.time, other.number);
+        }
+    };
+    struct Call
+    {
+        std::size_t sender;
+        Duration work;
+        TimePoint sentAt;
+        Duration expectedBySender;
+        Duration expectedByGate;
+        TimePoint startedAt;
+    };
+    struct Host
+    {
+        std::vector<TimePoint> slowFrom;
+        std::vector<Call> running;
+        std::deque<Call> waiting;
+        LoadMeter meter;
+    };
+
+    void at(TimePoint time, std::function<void()> action)
+    {
+        m_events.push({time, ++m_eventCount, std::move(action)});
+    }
+
+    Duration drawExponential(double meanMicros)
+    {
+        return Duration(static_cast<std::int64_t>(-std::log1p(-drawUnit(m_random)) * meanMicros));
+    }
+
+    void drawSlowStretches(Host &host)
+    {
+        const auto meanFast = 600'000 * (1 - m_load.slowShare) / std::max(m_load.slowShare, 1e-9);
+        for (auto it = kStart; m_load.slowShare > 0 && it < kStart + m_load.length + 60s; it += kSlowStretch) {
+            it += drawExponential(meanFast);
+            host.slowFrom.push_back(it);
+        }
+    }
+
+    double paceOf(const Host &host, TimePoint time) const
+    {
+        const auto it = std::upper_bound(host.slowFrom.begin(), host.slowFrom.end(), time);
+        return it != host.slowFrom.begin() && time - *(it - 1) < kSlowStretch ? m_load.slowFactor : 1;
+    }
+
+    void arrive()
+    {
+        at(m_now + drawExponential(1e6 / m_load.callsPerSecond), [this] { arrive(); });
+        const auto unit = static_cast<double>(m_load.meanWork.count()) / (1 + 6 * m_load.heavyShare);
+        const bool isHeavy = drawUnit(m_random) < m_load.heavyShare;
+        Call call{.sender = drawBelow(m_random, m_load.senders),
+                  .work = Duration(static_cast<std::int64_t>(unit * (isHeavy ? 7 : 1) * (0.5 + drawUnit(m_random)))),
+                  .sentAt = m_now};
+        auto &router = m_routers[call.sender];
+        call.expectedBySender = m_estimators[call.sender].expected(0);
+        const auto decision = router.choose(m_now, m_random, {.isRootAdmitted = true, .expectedWork = call.expectedBySender});
+        ASSERT_TRUE(decision.node.isValid());
+        router.onSent(m_now, decision.node, 0, call.expectedBySender);
+        at(m_now + kOneWay, [this, call, n = decision.node.value - 1] {
+            auto &host = m_hosts[n];
+            host.waiting.push_back(call);
+            host.waiting.back().expectedByGate = host.meter.expectedWork(0);
+            startWaiting(n);
+        });
+    }
+
+    void startWaiting(std::size_t n)
+    {
+        auto &host = m_hosts[n];
+        while (!host.waiting.empty() && host.running.size() < m_load.slots) {
+            auto call = host.waiting.front();
+            host.waiting.pop_front();
+            call.startedAt = m_now;
+            host.running.push_back(call);
+            at(endOf(host, m_load.speeds[n], call.work), [this, n, call] { finish(n, call); });
+        }
+    }
+
+    /// Returns when work that starts now ends, with the pace changing in steps.
+    TimePoint endOf(const Host &host, double speed, Duration work) const
+    {
+        constexpr Duration kStep = 5ms;
+        auto left = static_cast<double>(work.count()) / speed;
+        auto time = m_now;
+        for (;; time += kStep) {
+            const auto pace = paceOf(host, time);
+            if (left * pace <= static_cast<double>(kStep.count())) {
+                return time + Duration(static_cast<std::int64_t>(left * pace));
+            }
+            left -= static_cast<double>(kStep.count()) / pace;
+        }
+    }
+
+    void finish(std::size_t n, const Call &call)
+    {
+        auto &host = m_hosts[n];
+        const auto it = std::find_if(host.running.begin(), host.running.end(),
+                                     [&](const Call &other) { return other.sentAt == call.sentAt && other.sender == call.sender; });
+        host.running.erase(it);
+        RouteResult result{.serviceTime = m_now - call.startedAt, .expectedWork = call.expectedBySender};
+        if (m_reportsLoad) {
+            host.meter.setPace(m_now, static_cast<std::uint32_t>(paceOf(host, m_now) * 100));
+            host.meter.recordService(m_now, 0, result.serviceTime, Duration{0});
+            Duration remaining{0};
+            for (const auto &other : host.running) {
+                remaining += host.meter.remainingOf(m_now, {other.expectedByGate, other.startedAt});
+            }
+            for (const auto &other : host.waiting) {
+                remaining += host.meter.remainingOf(m_now, {other.expectedByGate, std::nullopt});
+            }
+            result.load = host.meter.report(m_now, remaining, m_load.slots);
+        }
+        startWaiting(n);
+        at(m_now + kOneWay, [this, n, call, result]() mutable {
+            result.latency = m_now - call.sentAt;
+            if (result.load) {
+                m_estimators[call.sender].record(0, result.serviceTime * 100 / result.load->pacePercent);
+            }
+            m_routers[call.sender].onResult(m_now, {n + 1}, result);
+            if (call.sentAt > kStart + kWarmUp) {
+                m_latencies.push_back(result.latency);
+            }
+        });
+    }
+
+    void sampleLoad()
+    {
+        at(m_now + 50ms, [this] { sampleLoad(); });
+        std::size_t busiest = 0;
+        std::size_t sum = 0;
+        for (const auto &it : m_hosts) {
+            busiest = std::max(busiest, it.running.size() + it.waiting.size());
+            sum += it.running.size() + it.waiting.size();
+        }
+        if (sum > 0) {
+            m_busiestSum += static_cast<double>(busiest * m_hosts.size()) / static_cast<double>(sum);
+            ++m_sampleCount;
+        }
+    }
+
+    static constexpr Duration kSlowStretch = 600ms;
+
+    const Load &m_load;
+    bool m_reportsLoad;
+    Random m_random;
+    TimePoint m_now = kStart;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_eventCount = 0;
+    std::vector<Host> m_hosts;
+    std::vector<Router> m_routers;
+    std::vector<WorkEstimator> m_estimators;
+    std::vector<Duration> m_latencies;
+    double m_busiestSum = 0;
+    double m_sampleCount = 0;
+};
+
+void expectBetter(const Load &load, double maxP99Ratio)
+{
+    const auto today = Replay(load, false, 1).run();
+    const auto reports = Replay(load, true, 1).run();
+    EXPECT_LT(reports.p99Ms, today.p99Ms * maxP99Ratio) << load.name;
+    EXPECT_LT(reports.busiest, today.busiest) << load.name;
+    EXPECT_GE(reports.inTime, today.inTime) << load.name;
+}
+
+} // namespace
+
+// Guards against a choice that is worse than the one without reports where hosts differ in speed, become slow for moments, and single calls
+// take many times as long.
+TEST(Placement, ReplayOfSlowMomentsAndHeavyCalls)
+{
+    const std::vector<double> speeds{0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2};
+    const Load load{.name = "11 hosts, slow moments",
+                    .speeds = speeds,
+                    .senders = 19,
+                    .zones = 2,
+                    .callsPerSecond = 900.0 * 11 / 37,
+                    .meanWork = 140ms,
+                    .heavyShare = 0.03,
+                    .slowShare = 0.15,
+                    .slowFactor = 2.5};
+    expectBetter(load, 1);
+}
+
+// Guards against many senders that choose the same upstream at once.
+TEST(Placement, ReplayOfManySendersAtHighLoad)
+{
+    for (const int percent : {60, 80, 95}) {
+        Load load{.name = "6 hosts, 80 senders", .speeds = {0.6, 1.0, 1.4, 0.6, 1.0, 1.4}, .slots = 100, .senders = 80, .meanWork = 41ms};
+        load.callsPerSecond = 6 * load.slots / std::chrono::duration<double>(load.meanWork).count() * percent / 100;
+        load.length = 20s;
+        std::printf("%d %% load: ", percent);
+        expectBetter(load, 1.01);
+    }
+}
