Nodes: exchange load reports and show placement to operators

Cause: the router needs the load of gates and the expected work of each call. Change: the gate sums up the expected remaining work of its calls at most every 2 ms and states it with the pace in its answers, only while its backend server states a pace. Time that calls wait for their child calls doesn't scale with the pace. The dispatcher learns the work of requests from the service times in answers. /v1/explain lists the upstreams of the service; /metrics has the ratio of measured to expected work, and of the busiest upstream to the mean.

--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -6,6 +6,7 @@
 #include "node/control/operator_api.h"
 
 #include "node/clock.h"
+#include "node/entry/dispatcher.h"
 #include "node/gate/gate_service.h"
 #include "node/log.h"
 #include "store/listener_cpprest.h"
@@ -251,9 +252,11 @@
     return {.body = formatPage(m_context.events.read(numberField(request.query, "after", 0), limit))};
 }
 
-OperatorAnswer OperatorApi::answerMetrics(TimePoint, const OperatorRequest &)
+OperatorAnswer OperatorApi::answerMetrics(TimePoint now, const OperatorRequest &)
 {
-    return {.body = m_context.metrics.renderText(m_context.settings.name), .contentType = "text/plain; version=0.0.4"};
+    auto text = m_context.metrics.renderText(m_context.settings.name);
+    text += m_context.dispatcher ? m_context.dispatcher->renderPlacementMetrics(now) : std::string();
+    return {.body = std::move(text), .contentType = "text/plain; version=0.0.4"};
 }
 
 OperatorAnswer OperatorApi::answerDrain(TimePoint now, const OperatorRequest &request)
--- a/src/node/control/operator_views_json.cpp
+++ b/src/node/control/operator_views_json.cpp
@@ -4,6 +4,7 @@
 #include "node/control/operator_views.h"
 
 #include "node/clock.h"
+#include "node/entry/dispatcher.h"
 #include "node/gate/gate_service.h"
 
 #include <nlohmann/json.hpp>
@@ -180,6 +181,32 @@
     return classes;
 }
 
+/// Describes the upstreams of a service as the router of this node has them.
+Json describeUpstreams(const std::vector<CandidateView> &upstreams, const Membership *membership)
+{
+    auto list = Json::array();
+    for (const auto &it : upstreams) {
+        const auto *member = membership ? membership->find(it.node) : nullptr;
+        Json json{{"node", member ? member->info.name : toHex(it.node.value)},
+                  {"tier", rowOf(it.tier).name},
+                  {"ready", it.ready},
+                  {"ejected", it.ejected},
+                  {"inFlight", it.inFlight},
+                  {"latencyMs", toMilliseconds(it.latency)},
+                  {"level", it.level.value},
+                  {"weight", it.weight}};
+        if (it.reportsLoad) {
+            json["load"] = {{"outstandingWorkMs", toMilliseconds(it.outstandingWork)},
+                            {"pace", it.pace},
+                            {"paceAgeMs", toMilliseconds(it.paceAge)},
+                            {"speed", it.speed},
+                            {"lossRate", it.lossRate}};
+        }
+        list.push_back(std::move(json));
+    }
+    return list;
+}
+
 std::string textField(const QueryFields &query, const std::string &key, const std::string &fallback = {})
 {
     const auto it = query.find(key);
@@ -325,12 +352,15 @@
             .requestClass = spec->requestClass, .importance = set.importanceOf(caller), .remaining = spec->defaultTimeout};
         explainLoad(sources, now, service, callContext, steps);
     }
+    const auto *dispatcher = sources.context.dispatcher;
+    const auto upstreams = dispatcher ? dispatcher->explainRoutes(now, service) : std::vector<CandidateView>();
     return makeAnswer({{"node", sources.context.settings.name},
                        {"service", service},
                        {"caller", caller},
                        {"method", method},
                        {"path", path},
-                       {"steps", steps}});
+                       {"steps", steps},
+                       {"upstreams", describeUpstreams(upstreams, sources.context.membership)}});
 }
 
 } // namespace chicoryspar
--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "node/entry/dispatcher.h"
 
 #include "node/clock.h"
+#include "node/entry/placement.h"
 #include "node/gate/gate_service.h"
 #include "node/keys/key_service.h"
 #include "node/peers/peer_set.h"
@@ -65,6 +66,8 @@
     Router router;
     /// Retry budget of this node for the service, used when the settings bound retries by service.
     RatioBudget retryRatio;
+    /// Expected work of requests, learned where answers report the pace at which they were served.
+    WorkEstimator work;
 };
 
 /// A call in progress and the state of its attempts.
@@ -85,6 +88,8 @@
     /// Identifier for cancelling the last attempt, at the gate of this node or at the peer.
     std::uint64_t attemptCallId = 0;
     TimePoint sentAt;
+    /// Expected work of the last attempt.
+    Duration expectedWork{0};
     std::uint32_t attempt = 0;
     std::uint32_t retries = 0;
     /// Attempts that may have reached a backend server.
@@ -135,7 +140,7 @@
 {
     auto &service = m_services[name];
     if (!service) {
-        service = std::make_unique<Service>(Service{Router(now, RouterOptions{}), RatioBudget(now, retryRatioOptions())});
+        service = std::make_unique<Service>(Service{Router(now, RouterOptions{}), RatioBudget(now, retryRatioOptions()), {}});
         refreshRouter(now, name, *service);
     }
     return *service;
@@ -174,13 +179,26 @@
     service.retryRatio.configure(retryRatioOptions());
 }
 
-std::vector<CandidateView> Dispatcher::explainRoutes(TimePoint now, const std::string &service)
+std::vector<CandidateView> Dispatcher::explainRoutes(TimePoint now, const std::string &service) const
 {
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return {};
+    }
     std::vector<CandidateView> views(Router::kMaxCandidates);
-    views.resize(serviceOf(now, service).router.explain(now, views));
+    views.resize(it->second->router.explain(now, views));
     return views;
 }
 
+std::string Dispatcher::renderPlacementMetrics(TimePoint now) const
+{
+    std::string text;
+    for (const auto &[name, service] : m_services) {
+        text += renderPlacement(m_context.settings.name, name, service->work, explainRoutes(now, name));
+    }
+    return text;
+}
+
 Level Dispatcher::entryLevel(TimePoint now, std::uint64_t methodKey) const
 {
     return m_levelCache.level(now, methodKey);
@@ -229,16 +247,20 @@
     }
     const auto &request = call.routed.request;
     const auto bytes = static_cast<std::uint32_t>(request.body.size());
-    auto &router = serviceOf(now, request.service).router;
-    const auto decision =
-        router.choose(now, m_context.random,
-                      RouteRequest{.rank = makeRank(request.context), .bytes = bytes, .isRootAdmitted = isRootAdmitted(request.context)},
-                      call.triedNodes);
+    auto &service = serviceOf(now, request.service);
+    auto &router = service.router;
+    call.expectedWork = service.work.expected(workKeyOf(call.routed.methodKey, bytes));
+    const auto decision = router.choose(now, m_context.random,
+                                        RouteRequest{.rank = makeRank(request.context),
+                                                     .bytes = bytes,
+                                                     .isRootAdmitted = isRootAdmitted(request.context),
+                                                     .expectedWork = call.expectedWork},
+                                        call.triedNodes);
     if (!decision.node.isValid()) {
         refuse(id, decision.refusal, decision.retryAfter);
         return;
     }
-    router.onSent(now, decision.node, bytes);
+    router.onSent(now, decision.node, bytes, call.expectedWork);
     sendAttempt(now, id, call, decision.node);
 }
 
@@ -289,7 +311,9 @@
         call.descendantLevel = std::max(call.descendantLevel, Level{answer.levelBelow});
         m_levelCache.record(now, call.routed.methodKey, Level{answer.levelBelow}, makeRank(call.routed.request.context));
     }
-    serviceOf(now, service).router.onResult(now, call.node, result);
+    auto &target = serviceOf(now, service);
+    recordLoad(call.routed, call.expectedWork, answer, target.work, result);
+    target.router.onResult(now, call.node, result);
     if (answer.tokensReturned) {
         call.budget.returnTokens(call.attempt, answer.retryTokensLeft);
     } else {
--- a/src/node/entry/dispatcher.h
+++ b/src/node/entry/dispatcher.h
@@ -51,8 +51,11 @@
     /// Updates all routers to the current members and policies.
     void refreshRouters(TimePoint now);
 
-    /// Returns the state of each upstream of @a service as its router has it.
-    std::vector<CandidateView> explainRoutes(TimePoint now, const std::string &service);
+    /// Returns the state of each upstream of @a service as its router has it; empty if this node hasn't called the service.
+    std::vector<CandidateView> explainRoutes(TimePoint now, const std::string &service) const;
+
+    /// Returns metrics of the placement of calls in the Prometheus text format; empty where no upstream reports its load.
+    std::string renderPlacementMetrics(TimePoint now) const;
 
     /// Returns the admission level below which this node refuses root requests before routing them.
     /// @param methodKey as in RoutedRequest
--- a/src/node/gate/gate_backend.cpp
+++ b/src/node/gate/gate_backend.cpp
@@ -53,6 +53,7 @@
     m_backend.setTarget(m_announcement.address, connectionLimit());
     if (isNewInstance) {
         m_gate.restart(now);
+        m_loadMeter.restart();
         m_hasAnswered = false;
         m_hasStatedLeave = false;
         m_rateLimit.reset();
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -94,6 +94,8 @@
     if (const auto mean = m_meanServiceTimes.find(call.routeName); mean != m_meanServiceTimes.end()) {
         gateRequest.minServiceTime = mean->second * kMinServiceTimePercent / kPercent;
     }
+    call.workKey = workKeyOf(hashBytes(call.routeName), request.body.size());
+    call.expectedWork = m_loadMeter.expectedWork(call.workKey);
     call.budget = RetryBudget(request.context.retryTokens);
     call.deadline = now + request.context.remaining;
     call.offeredAt = now;
@@ -302,6 +304,7 @@
     }
     if (answer.outcome == Outcome::Answer) {
         recordServiceTime(call, answer.serviceTime);
+        m_loadMeter.recordService(now, call.workKey, answer.serviceTime, call.childTime);
     }
     if (result.reason == Reason::Cancelled) {
         m_gate.cancel(now, ticket);
@@ -345,6 +348,7 @@
     answer.node = m_context.settings.name;
     answer.backend = backendState();
     fillLevels(answer, call.descendantLevel);
+    fillLoad(steadyNow(), answer);
     if (answer.outcome != Outcome::Answer) {
         m_context.events.countRefusal(call.request.service, call.request.context.requestClass, answer.reason, call.request.context.root);
     }
@@ -414,7 +418,11 @@
 {
     const auto it = m_ticketsByToken.find(token);
     if (it != m_ticketsByToken.end()) {
-        m_calls.at(it->second).children.insert(child);
+        auto &call = m_calls.at(it->second);
+        if (call.children.empty()) {
+            call.childrenSince = steadyNow();
+        }
+        call.children.insert(child);
     }
 }
 
@@ -425,7 +433,9 @@
         return;
     }
     auto &call = m_calls.at(it->second);
-    call.children.erase(child);
+    if (call.children.erase(child) > 0 && call.children.empty()) {
+        call.childTime += steadyNow() - call.childrenSince;
+    }
     call.descendantLevel =
         std::max(call.descendantLevel, call.request.context.ranksAsRoot ? descendantLevel : levelAtParentDepth(descendantLevel));
 }
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -113,6 +113,12 @@
         std::unordered_set<std::uint64_t> children;
         /// Highest admission level reported by child calls that have ended.
         Level descendantLevel;
+        /// For the load report, see LoadMeter.
+        std::uint64_t workKey = 0;
+        Duration expectedWork{0};
+        /// Time during which at least one child call was in progress, and the start of the current such period.
+        Duration childTime{0};
+        TimePoint childrenSince{};
     };
 
     std::string routeNameOf(const CallRequest &request) const;
@@ -142,6 +148,10 @@
     void pollGate(TimePoint now);
     void armTimer();
     void fillLevels(CallAnswer &answer, Level descendantLevel) const;
+    /// States the outstanding work of this gate, if the backend server states its pace.
+    void fillLoad(TimePoint now, CallAnswer &answer);
+    /// Returns the sum of the expected remaining work of all calls, from at most kMaxRemainingAge ago.
+    Duration remainingWork(TimePoint now);
     GateOptions gateOptions() const;
     /// Returns the limit on connections to the backend server: the smaller of the service's and this node's.
     std::uint64_t connectionLimit() const;
@@ -175,6 +185,9 @@
     std::unordered_map<std::string, std::uint64_t> m_ticketsByToken;
     std::uint64_t m_lastTicket = 0;
     std::unordered_map<std::string, Duration> m_meanServiceTimes;
+    LoadMeter m_loadMeter;
+    Duration m_remainingWork{0};
+    TimePoint m_remainingWorkAt{};
     /// Snapshot at the last comparison in recordGateChanges().
     GateSnapshot m_recordedSnapshot;
     TimePoint m_recordedAt{};
--- a/src/node/gate/gate_signals.cpp
+++ b/src/node/gate/gate_signals.cpp
@@ -17,6 +17,9 @@
     if (instance.empty() || instance != m_announcement.instance) {
         return;
     }
+    if (signals.load && signals.load->pacePercent) {
+        m_loadMeter.setPace(now, *signals.load->pacePercent);
+    }
     if (signals.rateLimit) {
         m_rateLimitStatedAt = now;
         setRateLimit(now, signals.rateLimit, "backend server");
