--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -7,6 +7,7 @@
 
 #include "node/clock.h"
 #include "node/customer/customer_limits.h"
+#include "node/entry/dispatcher.h"
 #include "node/gate/gate_service.h"
 #include "node/log.h"
 #include "store/listener_cpprest.h"
@@ -252,7 +253,7 @@
     return {.body = formatPage(m_context.events.read(numberField(request.query, "after", 0), limit))};
 }
 
-OperatorAnswer OperatorApi::answerMetrics(TimePoint, const OperatorRequest &)
+OperatorAnswer OperatorApi::answerMetrics(TimePoint now, const OperatorRequest &)
 {
     auto text = m_context.metrics.renderText(m_context.settings.name);
     text += "chicoryspar_customers{node=\"" + m_context.settings.name + "\"} " + std::to_string(m_context.config.customers().size()) + "\n";
@@ -262,6 +263,7 @@
     if (m_context.gate) {
         text += m_context.gate->repeats().renderMetrics(m_context.settings.name);
     }
+    text += m_context.dispatcher ? m_context.dispatcher->renderPlacementMetrics(now) : std::string();
     return {.body = std::move(text), .contentType = "text/plain; version=0.0.4"};
 }
 
--- a/src/node/gate/gate_signals.cpp
+++ b/src/node/gate/gate_signals.cpp
@@ -19,6 +19,7 @@
     }
     if (signals.load && signals.load->pacePercent) {
         m_repeats.onPaceStated();
+        m_loadMeter.setPace(now, *signals.load->pacePercent);
     }
     if (signals.rateLimit) {
         m_rateLimitStatedAt = now;
--- a/src/overload/router_signals.cpp
+++ b/src/overload/router_signals.cpp
@@ -155,6 +155,7 @@
         upstream.lastRepeatAt = now;
     }
     ++upstream.sampleCount;
+    recordLoadResult(upstream.load, now, result);
     ejectIfOutlier(state, now, upstream);
 }
 
@@ -197,6 +198,16 @@
     return (1 - upstream.failureRate) * (1 - repeatRefusalRate(upstream, now));
 }
 
+bool hasLoadCost(const Upstream &upstream, TimePoint now)
+{
+    return reportsLoad(upstream.load, now);
+}
+
+LoadUse loadUseOf(const Upstream &upstream, Duration expectedWork)
+{
+    return {.slots = upstream.candidate.slots, .inFlight = upstream.inFlight, .expectedWork = expectedWork};
+}
+
 bool refillCrossRegionBudget(RouterState &state, TimePoint now, std::uint32_t bytes)
 {
     const auto rate = static_cast<double>(state.options.crossRegionBytesPerSecond);
--- a/src/overload/router_state.h
+++ b/src/overload/router_state.h
@@ -3,7 +3,7 @@
 /// @file
 /// Internal state of a Router and the signals that it derives for each upstream.
 
-#include <chicoryspar/overload.h>
+#include "overload/router_load.h"
 
 namespace chicoryspar {
 
@@ -36,6 +36,7 @@
     TimePoint joinedAt;
     /// Calls per second that the backend server accepts; nothing for no limit.
     std::optional<double> rateLimit;
+    LoadSignals load;
 };
 
 /// Subset of RouterState::upstreams, by index.
@@ -84,6 +85,12 @@
 /// Returns the chance that @a upstream answers a repeat: its gate has a token left and the attempt doesn't fail.
 double repeatChance(const Upstream &upstream, TimePoint now);
 
+/// Returns whether the cost of an upstream is based on its load reports. Such a cost is never compared with one of costOf().
+bool hasLoadCost(const Upstream &upstream, TimePoint now);
+
+/// Returns the use that a request with @a expectedWork would make of an upstream, for expectedCompletion() and placementCost().
+LoadUse loadUseOf(const Upstream &upstream, Duration expectedWork);
+
 /// Refills the token bucket for cross-region bytes up to @a now.
 /// @returns whether the bucket holds at least @a bytes; nothing is taken from it
 bool refillCrossRegionBudget(RouterState &state, TimePoint now, std::uint32_t bytes);
