--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -127,6 +127,13 @@
     Duration coldStart = std::chrono::seconds(5);
     /// Share of the excess load that callers are told to throttle, in percent; 0 keeps the level at its lowest.
     std::uint32_t pushBack = 100;
+    /// Ranks have many importances, as customers' requests do: the rates of all classes and importances are estimated one by one.
+    bool hasManyGroups = false;
+    /// While the backlog is over its target, serves calls that can still meet their objective before those of the same class, depth and
+    /// importance that can't, and refuses at once what can't be served before its deadline.
+    bool prefersObjective = false;
+    /// States to refused calls when room is expected for them, instead of a constant.
+    bool spacesReturns = false;
 };
 
 /// One call that requests admission.
@@ -141,6 +148,8 @@
     bool isRootAdmitted = false;
     /// Shortest time in which the backend server answers such a call; zero takes the average service time of all calls.
     Duration minServiceTime{0};
+    /// Time after which the answer is worth less; used with GateOptions::prefersObjective and GateOptions::spacesReturns only.
+    TimePoint objective = TimePoint::max();
 };
 
 /// Returns whether the root request of a call was admitted at the entry node.
--- a/src/overload/gate.cpp
+++ b/src/overload/gate.cpp
@@ -218,6 +218,7 @@
     advanceGate(state, now);
     const GateState fresh(now, options);
     state.options = options;
+    state.level.setManyGroups(options.hasManyGroups);
     state.limit.configure(options);
     state.waiting.resize(fresh.waiting.capacity());
     state.orders.resize(fresh.orders.capacity());
--- a/src/overload/gate_periods.cpp
+++ b/src/overload/gate_periods.cpp
@@ -77,6 +77,7 @@
     , integratedAt(now)
     , sweptAt(now)
 {
+    level.setManyGroups(gateOptions.hasManyGroups);
     running.reserve(std::max(1U, std::min(gateOptions.maxLimit, gateOptions.slots)));
     outbox.reserve(queueCapacity(gateOptions) + gateOptions.orderQueueLength);
 }
--- a/src/overload/level_control.cpp
+++ b/src/overload/level_control.cpp
@@ -50,7 +50,7 @@
     if (it != last && it->key == key) {
         return *it;
     }
-    if (m_groupCount == kMaxGroups) {
+    if (m_groupCount >= m_groupLimit) {
         return it == last ? m_groups.back() : *it;
     }
     std::move_backward(it, last, last + 1);
@@ -86,7 +86,7 @@
     m_groupCount = static_cast<std::size_t>(kept - m_groups.begin());
 }
 
-double LevelControl::totalRate() const
+double LevelControl::offeredRate() const
 {
     double sum = 0;
     for (std::size_t n = 0; n < m_groupCount; ++n) {
@@ -139,10 +139,25 @@
     } else {
         m_rateCorrection = std::max(1.0, m_rateCorrection / kCorrectionStep);
     }
-    const auto offeredRate = totalRate();
+    const auto offered = offeredRate();
     const auto recoverySeconds = input.waitingOrders > input.target ? kOrderBacklogRecoverySeconds : kBacklogRecoverySeconds;
     const auto sustainableRate = std::max(0.0, input.capacity * m_rateCorrection + (input.target - input.backlog) / recoverySeconds);
-    publish(levelFor(offeredRate - (offeredRate - sustainableRate) * input.pushBack));
+    publish(levelFor(offered - (offered - sustainableRate) * input.pushBack));
+}
+
+void LevelControl::setManyGroups(bool hasManyGroups)
+{
+    m_groupLimit = hasManyGroups ? kMaxGroups : kFewGroups;
+}
+
+double LevelControl::offeredRateBetween(Rank rank, Level level) const
+{
+    double sum = 0;
+    for (std::size_t n = 0; n < m_groupCount; ++n) {
+        const auto &group = m_groups[n];
+        sum += group.ratePerSecond * std::max(0.0, countedShare(group.key, Level{rank.value}) - countedShare(group.key, level));
+    }
+    return sum;
 }
 
 Level LevelControl::level() const
--- a/src/overload/level_control.h
+++ b/src/overload/level_control.h
@@ -42,6 +42,15 @@
     /// Returns the lowest level of the last kGracePeriods periods, which callers have had time to receive.
     Level enforced() const;
 
+    /// Sets whether the rates of all classes and importances are estimated one by one, instead of those of 32 groups.
+    void setManyGroups(bool hasManyGroups);
+
+    /// Returns the calls per second that callers would send without a level.
+    double offeredRate() const;
+
+    /// Returns those of them that rank above @a rank and below @a level.
+    double offeredRateBetween(Rank rank, Level level) const;
+
 private:
     /// Calls of one class, depth and importance.
     struct Group
@@ -54,18 +63,20 @@
         /// Periods since the last call.
         std::uint32_t idlePeriods = 0;
     };
-    static constexpr std::size_t kMaxGroups = 32;
+    static constexpr std::size_t kFewGroups = 32;
+    /// Three classes with all importances, and some calls at other depths.
+    static constexpr std::size_t kMaxGroups = 64;
     static constexpr std::size_t kHistoryPeriods = 20;
     static constexpr std::size_t kGracePeriods = 10;
 
     Group &groupOf(Rank rank);
     void updateRates(double seconds);
-    double totalRate() const;
     Level levelFor(double admittedRate) const;
     void publish(Level level);
 
     std::array<Group, kMaxGroups> m_groups{};
     std::size_t m_groupCount = 0;
+    std::size_t m_groupLimit = kFewGroups;
     std::array<Level, kHistoryPeriods> m_history{};
     std::size_t m_historyNext = 0;
     TimePoint m_updatedAt;
--- a/src/overload/rank_layout.h
+++ b/src/overload/rank_layout.h
@@ -20,6 +20,12 @@
 /// Returns the depth field of @a rank: the number of ancestor calls, or 0 if the call ranks as its root request.
 std::uint32_t depthOf(Rank rank);
 
+/// Returns the rank without the hash: equal for calls of the same class, depth and importance.
+inline std::uint32_t groupOf(Rank rank)
+{
+    return rank.value >> kHashBits;
+}
+
 /// Returns the share of calls that @a level refuses among those that differ from @a rank only in the hash of the root request, 0 to 1.
 inline double refusedShare(Level level, Rank rank)
 {
