Gate: return schedule for refused calls, and objectives in the queue

A level refusal stated 500 ms whatever the load, so clients returned while the service was still full, and together. A call in the queue that could no longer be answered within its latency objective took the slot of one that could.

GateOptions::spacesReturns: the delay is the time for which refusals have lasted, plus the calls of higher rank that return first at the rate at which room becomes free, at most a third of the remaining time, or what is left of the objective. GateOptions::prefersObjective: over the target backlog, calls that can meet their objective go first within their group, and a call is refused at once if those ahead of it take longer than its deadline allows.

--- a/src/overload/gate.cpp
+++ b/src/overload/gate.cpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 #include "overload/gate_state.h"
+#include "overload/rank_layout.h"
 
 namespace chicoryspar {
 namespace {
@@ -54,6 +56,26 @@
     return Reason::None;
 }
 
+/// Returns whether the call would be answered within its objective if it were dispatched now.
+bool canMeetObjective(const GateState &state, TimePoint now, const GateRequest &request)
+{
+    return request.objective - now >= minServiceTime(state, now, request);
+}
+
+/// Returns whether the calls that will be served first take longer than the call can wait. Answers slow backend servers, behind which calls
+/// would wait only to be refused at their deadline.
+bool isWaitTooLong(const GateState &state, TimePoint now, const GateRequest &request)
+{
+    const auto capacity = capacityOf(state, now);
+    if (capacity <= 0) {
+        return false;
+    }
+    const auto ahead = state.orders.size()
+        + (isOrder(request.rank) ? 0 : state.waiting.count([&](const WaitingCall &it) { return it.request.rank >= request.rank; }));
+    const auto wait = Duration(static_cast<std::int64_t>(static_cast<double>(ahead) / capacity * 1e6));
+    return request.deadline - now < wait + minServiceTime(state, now, request);
+}
+
 /// Counts a refusal and returns its decision.
 GateDecision recordRefusal(GateState &state, TimePoint now, const GateRequest &request, Reason reason)
 {
@@ -62,8 +84,14 @@
     if (isOrder(request.rank) && !isDeadlineRefusal) {
         state.orderRefusedAt = now;
     }
-    const auto retryAfter = reason == Reason::LevelTooLow ? kLevelRetryAfter : expectedWait(state, now);
-    return {request.ticket, GateVerdict::Refused, reason, isDeadlineRefusal ? Duration{0} : retryAfter};
+    if (isDeadlineRefusal) {
+        return {request.ticket, GateVerdict::Refused, reason, Duration{0}};
+    }
+    state.returns.onRefusal(now);
+    const auto retryAfter = state.options.spacesReturns ? returnDelay(state, now, request)
+        : reason == Reason::LevelTooLow                 ? kLevelRetryAfter
+                                                        : expectedWait(state, now);
+    return {request.ticket, GateVerdict::Refused, reason, retryAfter};
 }
 
 void start(GateState &state, TimePoint now, const GateRequest &request)
@@ -98,6 +126,9 @@
 GateDecision enqueue(GateState &state, TimePoint now, const GateRequest &request)
 {
     auto &queue = isOrder(request.rank) ? state.orders : state.waiting;
+    if (state.options.prefersObjective && isOverloadSustained(state, now) && !isOrder(request.rank) && isWaitTooLong(state, now, request)) {
+        return recordRefusal(state, now, request, Reason::QueueFull);
+    }
     // Under sustained overload a longer queue only adds delay, so the lowest ranks are evicted at once.
     const bool isBacklogTooLong = !isOrder(request.rank) && isOverloadSustained(state, now)
         && static_cast<double>(queue.size()) >= kMaxBacklogFactor * targetBacklog(state, now);
@@ -154,7 +185,15 @@
         return order;
     }
     const bool isOverTarget = static_cast<double>(state.waiting.size()) > targetBacklog(state, now);
-    return isOverTarget ? state.waiting.highest() : state.waiting.oldest();
+    if (!isOverTarget) {
+        return state.waiting.oldest();
+    }
+    if (!state.options.prefersObjective) {
+        return state.waiting.highest();
+    }
+    return state.waiting.highestBy([&](const WaitingCall &call) {
+        return std::tuple(groupOf(call.request.rank), canMeetObjective(state, now, call.request), call.request.rank);
+    });
 }
 
 /// Dispatches waiting calls while slots are free.
--- a/src/overload/gate_periods.cpp
+++ b/src/overload/gate_periods.cpp
@@ -14,6 +14,13 @@
 /// Random variation of arrivals that the target backlog absorbs, in standard deviations of the arrivals of one second. The standard
 /// deviation is the square root of the rate.
 constexpr double kArrivalDeviations = 2;
+/// Time constant of the usual rate.
+constexpr double kUsualRateSeconds = 10;
+/// Smallest share of the capacity that is taken to become free when an overload ends. A full service may stay so.
+constexpr double kMinRoomShare = 0.1;
+/// Percentage of the time until the objective after which a refused call may return; the rest is for its way and its wait at the gate.
+constexpr int kTimelyPercent = 85;
+constexpr int kPercent = 100;
 
 std::size_t queueCapacity(const GateOptions &options)
 {
@@ -33,6 +40,15 @@
     state.integratedAt = now;
 }
 
+/// Averages the offered rate while nothing is refused and no backlog forms.
+void recordUsualRate(GateState &state, double seconds)
+{
+    if (state.level.level() == Level{} && !state.backlogExceededSince) {
+        const auto weight = std::min(1.0, seconds / kUsualRateSeconds);
+        state.usualRate += (state.level.offeredRate() - state.usualRate) * (state.usualRate > 0 ? weight : 1);
+    }
+}
+
 void closePeriod(GateState &state, TimePoint now)
 {
     const std::chrono::duration<double> elapsed = now - state.periodStart;
@@ -44,6 +60,7 @@
         .pushBack = state.options.pushBack / 100.0,
     };
     state.level.update(now, input);
+    recordUsualRate(state, elapsed.count());
     state.periodStart = now;
     state.backlogSeconds = 0;
     const auto level = publishedLevel(state, now);
@@ -65,6 +82,15 @@
     return level;
 }
 
+/// Returns the longest delay after which a refused call can still be answered within its objective.
+Duration timelyDelay(const GateState &state, TimePoint now, const GateRequest &request)
+{
+    if (request.objective == TimePoint::max()) {
+        return Duration::max();
+    }
+    return (request.objective - now - state.limit.serviceTime(now)) * kTimelyPercent / kPercent;
+}
+
 } // namespace
 
 GateState::GateState(TimePoint now, const GateOptions &gateOptions)
@@ -134,6 +160,22 @@
     return !state.lookupAdmittedAt || now - *state.lookupAdmittedAt > kOrderGuardTime;
 }
 
+Duration returnDelay(const GateState &state, TimePoint now, const GateRequest &request)
+{
+    const auto capacity = capacityOf(state, now);
+    const auto waiting = static_cast<double>(state.waiting.size() + state.orders.size());
+    return state.returns.returnDelay(
+        now,
+        RefusedRequest{
+            .rank = request.rank,
+            .remaining = request.deadline - now,
+            .timely = timelyDelay(state, now, request),
+            .aheadPerSecond = state.level.offeredRateBetween(request.rank, publishedLevel(state, now)),
+            .roomPerSecond = std::max(capacity * kMinRoomShare, capacity - state.usualRate),
+            .backlog = capacity > 0 ? Duration(static_cast<std::int64_t>(waiting / capacity * 1e6)) : Duration{0},
+        });
+}
+
 Level publishedLevel(const GateState &state, TimePoint now)
 {
     return applyOrderPrecedence(state, now, state.level.level());
--- a/src/overload/gate_queue.h
+++ b/src/overload/gate_queue.h
@@ -5,6 +5,8 @@
 
 #include <chicoryspar/overload.h>
 
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace chicoryspar {
@@ -39,6 +41,35 @@
     const WaitingCall *lowest() const;
     const WaitingCall *find(std::uint64_t ticket) const;
 
+    /// Returns the call for which @a keyOf returns the greatest key; the oldest one among equals.
+    template<typename KeyOf>
+    const WaitingCall *highestBy(KeyOf keyOf) const
+    {
+        const WaitingCall *found = nullptr;
+        std::optional<decltype(keyOf(std::declval<const WaitingCall &>()))> highestKey;
+        for (std::size_t n = 0; n < m_span; ++n) {
+            if (!at(n).isUsed) {
+                continue;
+            }
+            if (auto key = keyOf(at(n).call); !highestKey || key > *highestKey) {
+                highestKey = std::move(key);
+                found = &at(n).call;
+            }
+        }
+        return found;
+    }
+
+    /// Returns the number of calls for which @a predicate returns true.
+    template<typename Predicate>
+    std::size_t count(Predicate predicate) const
+    {
+        std::size_t found = 0;
+        for (std::size_t n = 0; n < m_span; ++n) {
+            found += at(n).isUsed && predicate(at(n).call) ? 1 : 0;
+        }
+        return found;
+    }
+
     /// Removes a call.
     /// @param call as returned by oldest(), highest(), lowest() or find()
     void remove(const WaitingCall *call);
--- a/src/overload/gate_state.h
+++ b/src/overload/gate_state.h
@@ -12,6 +12,7 @@
 #include "overload/level_control.h"
 #include "overload/limit.h"
 #include "overload/rate_limit.h"
+#include "overload/return_schedule.h"
 
 namespace chicoryspar {
 
@@ -40,6 +41,9 @@
     std::optional<TimePoint> backlogExceededSince;
     std::optional<TimePoint> lookupAdmittedAt;
     std::optional<TimePoint> orderRefusedAt;
+    ReturnSchedule returns;
+    /// Calls per second offered while there was no overload, averaged over several seconds; 0 while unknown.
+    double usualRate = 0;
     Duration queueingDelay{0};
     std::uint64_t admitted = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(RequestClass::Count)> refused{};
@@ -64,6 +68,9 @@
 /// Returns whether orders may be refused by overload: only if no lookup was admitted shortly before.
 bool mayRefuseOrders(const GateState &state, TimePoint now);
 
+/// Returns the delay after which a call that was refused for lack of room should return.
+Duration returnDelay(const GateState &state, TimePoint now, const GateRequest &request);
+
 /// Returns the level to send to callers.
 Level publishedLevel(const GateState &state, TimePoint now);
 
