Nodes: levels by group, return schedule and objectives where enabled

Entry nodes kept one level per route, which is wrong once its requests differ in class and importance, and stated no delay of their own with refusals by level. Gates knew the deadline of a call, but not its objective.

EntryLevels keeps levels by group where customers are configured, by key as before elsewhere, and states delays for entry-level and limit-reached. GateService::usesObjectives() (customers are configured, or the backend server states its pace) switches the objectives in the queue; GateService::spacesReturns() the delays, with the setting [overload] return_schedule = auto|on|off on top.

No run over a network yet.

--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -509,6 +509,8 @@
     std::optional<Duration> shortestLatencyObjective(std::string_view service) const;
     /// Returns the limits of the route table, or the defaults without one.
     const TrafficLimits &trafficLimits() const;
+    /// Returns whether requests to routes that aren't public need the key of a customer.
+    bool requiresCustomers() const;
     /// Returns the number of objects and tombstones.
     std::size_t size() const;
 
--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -10,6 +10,22 @@
 
 namespace chicoryspar {
 
+/// When refusals state an expected time of return instead of a constant.
+enum class ReturnScheduleMode : std::uint8_t {
+    /// Where customers are configured or the local backend server states its pace.
+    Auto,
+    On,
+    Off,
+    Count,
+};
+
+struct ReturnScheduleModeRow
+{
+    std::string_view name;
+};
+
+const ReturnScheduleModeRow &rowOf(ReturnScheduleMode value);
+
 /// Settings of one node, as read from its INI file.
 struct NodeSettings
 {
@@ -64,6 +80,8 @@
     std::uint64_t fleetRetryExtra = 0;
     Duration fleetRetryWindow = std::chrono::seconds(10);
 
+    ReturnScheduleMode returnSchedule = ReturnScheduleMode::Auto;
+
     /// Time for which the record of an idempotency key is kept.
     Duration keyLifetime = std::chrono::seconds(30);
     /// Largest accepted difference between the clocks of caller and node.
--- a/src/config/lookup.cpp
+++ b/src/config/lookup.cpp
@@ -174,6 +174,11 @@
     return shortest;
 }
 
+bool ConfigSet::requiresCustomers() const
+{
+    return m_routeTable && m_routeTable->customers;
+}
+
 const TrafficLimits &ConfigSet::trafficLimits() const
 {
     return m_routeTable ? m_routeTable->limits : kDefaultTrafficLimits;
--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -30,6 +30,8 @@
 /// Fraction of the deployment's extra retries that its nodes divide. The rest covers restarted nodes, which start with a full budget.
 constexpr double kDividedExtraFraction = 0.8;
 constexpr double kPercent = 100;
+/// Percentage of the time until the objective after which a refused request may return; the rest is for the service.
+constexpr int kTimelyPercent = 75;
 
 /// Number of nodes of whose backend servers something is kept, from which those that have gone are dropped.
 constexpr std::size_t kMaxKnownBackends = 1024;
@@ -100,7 +102,7 @@
 Dispatcher::Dispatcher(NodeContext &context)
     : m_context(context)
     , m_retryRatio(steadyNow())
-    , m_levelCache(context.edge.usesRoutes() ? kRouteLevelCacheOptions : LevelCacheOptions{})
+    , m_levels(context.edge.usesRoutes() ? kRouteLevelCacheOptions : LevelCacheOptions{})
 {
     context.membersChanged.connect([this](TimePoint now) { refreshRouters(now); });
     context.configChanged.connect([this](TimePoint now) { refreshRouters(now); });
@@ -143,6 +145,7 @@
 
 void Dispatcher::refreshRouters(TimePoint now)
 {
+    m_levels.setGrouped(m_context.config.requiresCustomers());
     for (auto &[name, service] : m_services) {
         refreshRouter(now, name, *service);
     }
@@ -183,7 +186,7 @@
 
 Level Dispatcher::entryLevel(TimePoint now, std::uint64_t methodKey) const
 {
-    return m_levelCache.level(now, methodKey);
+    return m_levels.level(now, methodKey);
 }
 
 // Calls
@@ -209,7 +212,7 @@
     }
     const auto &request = call.routed.request;
     // Child calls aren't refused here: their root request was admitted, and refusing them would waste the work done for it.
-    if (request.context.depth == 0 && !m_levelCache.admit(now, call.routed.methodKey, makeRank(request.context))) {
+    if (request.context.depth == 0 && !m_levels.admit(now, call.routed.methodKey, makeRank(request.context))) {
         refuse(id, Reason::EntryLevel, Duration{0});
         return true;
     }
@@ -287,7 +290,7 @@
     if (answer.hasLevels) {
         result.level = Level{answer.level};
         call.descendantLevel = std::max(call.descendantLevel, Level{answer.levelBelow});
-        m_levelCache.record(now, call.routed.methodKey, Level{answer.levelBelow}, makeRank(call.routed.request.context));
+        m_levels.record(now, call.routed.methodKey, Level{answer.levelBelow}, makeRank(call.routed.request.context));
     }
     serviceOf(now, service).router.onResult(now, call.node, result);
     if (answer.tokensReturned) {
@@ -369,13 +372,25 @@
     CallAnswer answer;
     answer.outcome = call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
     answer.reason = reason;
-    answer.retryAfter = retryAfter;
+    answer.retryAfter = returnDelay(steadyNow(), call, reason, retryAfter);
     answer.node = m_context.settings.name;
     const auto &request = call.routed.request;
     m_context.events.countRefusal(request.service, request.context.requestClass, reason, request.context.root);
     finish(id, std::move(answer));
 }
 
+Duration Dispatcher::returnDelay(TimePoint now, const Call &call, Reason reason, Duration retryAfter)
+{
+    const bool isLackOfRoom = reason == Reason::EntryLevel || reason == Reason::LimitReached;
+    if (!isLackOfRoom || !m_context.gate->spacesReturns()) {
+        return retryAfter;
+    }
+    const auto &routed = call.routed;
+    const auto timely = routed.objective == TimePoint::max() ? Duration::max() : Duration((routed.objective - now) * kTimelyPercent / 100);
+    m_levels.onRefusal(now, routed.methodKey);
+    return m_levels.returnDelay(now, routed.methodKey, makeRank(routed.request.context), routed.deadline - now, timely);
+}
+
 void Dispatcher::finish(std::uint64_t id, CallAnswer answer)
 {
     const auto it = m_calls.find(id);
--- a/src/node/entry/dispatcher.h
+++ b/src/node/entry/dispatcher.h
@@ -4,6 +4,7 @@
 /// Chooses an upstream for each attempt at a call, sends the attempt, and retries where that is safe and within the retry budgets.
 
 #include "node/context.h"
+#include "node/entry/entry_levels.h"
 
 #include <unordered_map>
 
@@ -22,6 +23,8 @@
     std::uint32_t maxBackendAttempts = 0;
     /// Hash of service and method. Calls with the same key make the same child calls, so they share an entry in the level cache.
     std::uint64_t methodKey = 0;
+    /// Time after which the answer is worth less.
+    TimePoint objective = TimePoint::max();
     /// Called just before an attempt is sent, with the chosen upstream. May modify the request of this attempt.
     std::function<void(NodeId, CallRequest &)> onDispatch;
 };
@@ -77,11 +80,14 @@
     void scheduleRetry(std::uint64_t id, Call &call, const CallAnswer &answer);
     void finish(std::uint64_t id, CallAnswer answer);
     void refuse(std::uint64_t id, Reason reason, Duration retryAfter);
+    /// Returns the delay to state with a refusal by this node.
+    /// @param retryAfter delay without a return schedule
+    Duration returnDelay(TimePoint now, const Call &call, Reason reason, Duration retryAfter);
 
     NodeContext &m_context;
     /// Retry budget of the whole node, used when the settings have no bound by service.
     RatioBudget m_retryRatio;
-    LevelCache m_levelCache;
+    EntryLevels m_levels;
     /// What the backend server of each node stated last, if it limits its requests or leaves.
     std::unordered_map<NodeId, BackendState> m_knownBackends;
     std::unordered_map<std::string, std::unique_ptr<Service>> m_services;
--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -226,6 +226,9 @@
     routed.isIdempotent = method.idempotent && !method.once;
     routed.maxBackendAttempts = target.maxBackendAttempts;
     routed.methodKey = methodKeyOf(routed.request.service, method.name);
+    if (target.latencyObjective > Duration{0}) {
+        routed.objective = m_entries.at(id).startedAt + target.latencyObjective;
+    }
     const auto callId = m_context.dispatcher->beginCall(std::move(routed), std::move(handler));
     if (m_entries.contains(id)) {
         entry.callId = callId;
--- a/src/node/gate/gate_backend.cpp
+++ b/src/node/gate/gate_backend.cpp
@@ -55,6 +55,7 @@
         m_gate.restart(now);
         m_hasAnswered = false;
         m_hasStatedLeave = false;
+        m_hasStatedPace = false;
         m_rateLimit.reset();
         m_isConfirmed = false;
         m_isHealthCheckRunning = false;
--- a/src/node/gate/gate_policy.cpp
+++ b/src/node/gate/gate_policy.cpp
@@ -30,6 +30,17 @@
 
 } // namespace
 
+bool GateService::usesObjectives() const
+{
+    return m_context.config.requiresCustomers() || m_hasStatedPace;
+}
+
+bool GateService::spacesReturns() const
+{
+    const auto mode = m_context.settings.returnSchedule;
+    return mode == ReturnScheduleMode::Auto ? usesObjectives() : mode == ReturnScheduleMode::On;
+}
+
 GateOptions GateService::gateOptions() const
 {
     const auto &policy = m_context.config.overloadPolicyOf(m_announcement.service);
@@ -46,7 +57,10 @@
     options.pushBack = policy.pushBack;
     if (const auto target = m_context.config.shortestLatencyObjective(m_announcement.service)) {
         options.maxQueueDelay = *target / kQueueDelayDivisor;
+        options.prefersObjective = usesObjectives();
     }
+    options.hasManyGroups = m_context.config.requiresCustomers();
+    options.spacesReturns = spacesReturns();
     return options;
 }
 
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -90,7 +90,10 @@
     const auto ticket = ++m_lastTicket;
     auto gateRequest = makeGateRequest(now, ticket, request.context);
     auto &call = m_calls[ticket];
-    call.routeName = routeNameOf(request);
+    if (const auto *route = routeOf(request)) {
+        call.routeName = route->name;
+        gateRequest.objective = now + route->latencyObjective;
+    }
     if (const auto mean = m_meanServiceTimes.find(call.routeName); mean != m_meanServiceTimes.end()) {
         gateRequest.minServiceTime = mean->second * kMinServiceTimePercent / kPercent;
     }
@@ -312,13 +315,10 @@
     pollGate(now);
 }
 
-std::string GateService::routeNameOf(const CallRequest &request) const
+const RouteSpec *GateService::routeOf(const CallRequest &request) const
 {
-    if (!m_context.edge.usesRoutes()) {
-        return {};
-    }
-    const auto *route = m_context.config.findRoute(hostOf(request.target, request.headers), pathOf(request.target));
-    return route ? route->name : std::string();
+    return m_context.edge.usesRoutes() ? m_context.config.findRoute(hostOf(request.target, request.headers), pathOf(request.target))
+                                       : nullptr;
 }
 
 void GateService::recordServiceTime(const Call &call, Duration sample)
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -83,6 +83,9 @@
     /// Returns the decision that the gate would take on a call with this context, without offering it.
     GateDecision explain(TimePoint now, const CallContext &callContext) const;
 
+    /// Returns whether refusals state an expected time of return instead of a constant, see ReturnScheduleMode.
+    bool spacesReturns() const;
+
     /// Applies the current OverloadPolicy and connection limit of the announced service.
     void applyPolicy(TimePoint now);
 
@@ -115,7 +118,10 @@
         Level descendantLevel;
     };
 
-    std::string routeNameOf(const CallRequest &request) const;
+    /// Returns the route of the route table; null when there is none.
+    const RouteSpec *routeOf(const CallRequest &request) const;
+    /// Returns whether objectives count: customers are configured or the backend server states its pace. Others are served as before.
+    bool usesObjectives() const;
     void recordServiceTime(const Call &call, Duration sample);
     void startHealthCheck(TimePoint now);
     void onConfirmed(TimePoint now, const std::string &instance, const char *evidence);
@@ -163,6 +169,8 @@
     /// Whether a call of this process was answered by the announced instance.
     bool m_hasAnswered = false;
     bool m_hasStatedLeave = false;
+    /// Whether the announced instance has stated its pace.
+    bool m_hasStatedPace = false;
     /// Since when the announced instance is leaving.
     std::optional<TimePoint> m_leavingSince;
     std::optional<double> m_rateLimit;
--- a/src/node/gate/gate_signals.cpp
+++ b/src/node/gate/gate_signals.cpp
@@ -23,6 +23,10 @@
     } else if (m_rateLimit && now - m_rateLimitStatedAt >= kRateLimitHold) {
         setRateLimit(now, std::nullopt, "backend server");
     }
+    if (signals.load && signals.load->pacePercent && !m_hasStatedPace) {
+        m_hasStatedPace = true;
+        m_gate.configure(now, gateOptions());
+    }
     if (signals.isLeaving && !m_hasStatedLeave) {
         m_hasStatedLeave = true;
         writeLog(LogLevel::Info, "the backend server states that it leaves", {{"instance", instance}});
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -207,6 +207,23 @@
     return std::nullopt;
 }
 
+constexpr std::array<ReturnScheduleModeRow, static_cast<std::size_t>(ReturnScheduleMode::Count)> kReturnScheduleModes{{
+    {"auto"},
+    {"on"},
+    {"off"},
+}};
+
+std::optional<std::string> storeReturnSchedule(NodeSettings &settings, const KeyRow &, const std::string &value)
+{
+    const auto it =
+        std::find_if(kReturnScheduleModes.begin(), kReturnScheduleModes.end(), [&](const auto &row) { return row.name == value; });
+    if (it == kReturnScheduleModes.end()) {
+        return "'" + value + "' is none of auto, on, off";
+    }
+    settings.returnSchedule = static_cast<ReturnScheduleMode>(it - kReturnScheduleModes.begin());
+    return std::nullopt;
+}
+
 constexpr std::uint64_t kMebibyte = 1024ULL * 1024;
 
 constexpr std::array kKeys{
@@ -289,6 +306,7 @@
            .minValue = 0,
            .maxValue = 1'000'000},
     KeyRow{.section = "repeats", .key = "window", .store = storeDurationWithUnit, .duration = &NodeSettings::fleetRetryWindow},
+    KeyRow{"overload", "return_schedule", storeReturnSchedule},
     KeyRow{.section = "keys",
            .key = "lifetime_ms",
            .store = storeMilliseconds,
@@ -397,6 +415,11 @@
 
 } // namespace
 
+const ReturnScheduleModeRow &rowOf(ReturnScheduleMode value)
+{
+    return kReturnScheduleModes.at(static_cast<std::size_t>(value));
+}
+
 LoadedSettings parseNodeSettings(const std::string &text, const std::string &place)
 {
     LoadedSettings loaded;
--- a/src/overload/group_level_cache.cpp
+++ b/src/overload/group_level_cache.cpp
@@ -60,11 +60,6 @@
 void GroupLevelCache::record(TimePoint now, std::uint64_t key, Level level)
 {
     auto &entry = findOrReplace(key);
-    const bool wasRefusing = std::any_of(entry.samples.begin(), entry.samples.begin() + entry.count,
-                                         [&](const Sample &it) { return it.level != Level{} && isCurrent(now, it); });
-    if (!wasRefusing && level != Level{}) {
-        entry.refusingSince = now;
-    }
     entry.samples[entry.next] = {level, now};
     entry.next = static_cast<std::uint8_t>((entry.next + 1) % kSamples);
     entry.count = static_cast<std::uint8_t>(std::min<std::size_t>(entry.count + 1, kSamples));
@@ -90,13 +85,14 @@
     return entry ? refusedShareOf(now, *entry, rank) : 0;
 }
 
-std::optional<TimePoint> GroupLevelCache::refusingSince(TimePoint now, std::uint64_t key) const
+Level GroupLevelCache::latest(TimePoint now, std::uint64_t key) const
 {
     const auto *entry = find(key);
-    const bool isRefusing = entry && std::any_of(entry->samples.begin(), entry->samples.begin() + entry->count, [&](const Sample &it) {
-                                return it.level != Level{} && isCurrent(now, it);
-                            });
-    return isRefusing ? std::optional(entry->refusingSince) : std::nullopt;
+    if (!entry) {
+        return {};
+    }
+    const auto &sample = entry->samples[(entry->next + kSamples - 1) % kSamples];
+    return isCurrent(now, sample) ? sample.level : Level{};
 }
 
 std::size_t GroupLevelCache::bytes() const
--- a/src/overload/group_level_cache.h
+++ b/src/overload/group_level_cache.h
@@ -40,8 +40,8 @@
     /// Returns the share of the calls of the group of @a rank that is refused, 0 to 1.
     double refusedShareOf(TimePoint now, std::uint64_t key, Rank rank) const;
 
-    /// Returns since when levels of @a key refuse calls; nothing if none does.
-    std::optional<TimePoint> refusingSince(TimePoint now, std::uint64_t key) const;
+    /// Returns the level that an answer returned last; the one that admits every call once it has expired.
+    Level latest(TimePoint now, std::uint64_t key) const;
 
     std::size_t bytes() const;
 
@@ -59,7 +59,6 @@
         std::uint64_t key = 0;
         TimePoint updatedAt;
         TimePoint lastProbeAt;
-        TimePoint refusingSince;
         /// Ring of the last levels.
         std::array<Sample, kSamples> samples{};
         std::uint8_t next = 0;
--- a/tests/io_settings.cpp
+++ b/tests/io_settings.cpp
@@ -48,3 +48,15 @@
     EXPECT_EQ(maxDrainTime(parse("[stop]\nkill_after = 1s\n")), 0s);
     EXPECT_EQ(maxDrainTime(parse("[stop]\ndrain_ms = 700\n")), 700ms);
 }
+
+/// Guards against a misspelt mode that leaves the default in force without notice.
+TEST(Settings, ReturnScheduleHasThreeModes)
+{
+    EXPECT_EQ(parse("").returnSchedule, ReturnScheduleMode::Auto);
+    for (const auto mode : {ReturnScheduleMode::Auto, ReturnScheduleMode::On, ReturnScheduleMode::Off}) {
+        const auto settings = parse("[overload]\nreturn_schedule = " + std::string(rowOf(mode).name) + "\n");
+        EXPECT_EQ(settings.returnSchedule, mode);
+    }
+    const auto loaded = parseNodeSettings(kRequired + std::string("[overload]\nreturn_schedule = yes\n"), "test");
+    EXPECT_EQ(loaded.findings.size(), 1U);
+}
--- a/tests/test_overload_fairness.cpp
+++ b/tests/test_overload_fairness.cpp
@@ -358,11 +358,11 @@
     EXPECT_FALSE(cache.admit(now, 5, rankOf(RequestClass::Standard, 6, 2)));
     EXPECT_FALSE(cache.admit(now, 5, rankOf(RequestClass::Lookup, 15, 2)));
     EXPECT_TRUE(cache.admit(now, 6, rankOf(RequestClass::Lookup, 0, 2)));
-    EXPECT_EQ(cache.refusingSince(now + 1s, 5), now);
+    EXPECT_EQ(cache.latest(now + 1s, 5), level);
     EXPECT_TRUE(cache.admit(now + 1s, 5, rankOf(RequestClass::Lookup, 15, 2))) << "one probe";
     EXPECT_FALSE(cache.admit(now + 1s, 5, rankOf(RequestClass::Lookup, 15, 2)));
     EXPECT_TRUE(cache.admit(now + 3s, 5, rankOf(RequestClass::Lookup, 0, 2)));
-    EXPECT_EQ(cache.refusingSince(now + 3s, 5), std::nullopt);
+    EXPECT_EQ(cache.latest(now + 3s, 5), Level{});
 }
 
 /// Guards against memory that grows with the routes: the cache is allocated once.
