--- a/src/node/entry/entry_request.cpp
+++ b/src/node/entry/entry_request.cpp
@@ -3,10 +3,18 @@
 
 #include "node/entry/entry_request.h"
 
+#include "overload/fair_share.h"
+
 #include <algorithm>
 
 namespace chicoryspar {
 
+RequestClass ownClassOf(const ContextInput &input)
+{
+    const bool hasPriority = input.customer && input.customer->priority;
+    return hasPriority ? requestClassOfPriority(*input.customer->priority) : input.method.requestClass;
+}
+
 CallContext makeContext(TimePoint now, const ContextInput &input)
 {
     CallContext context;
@@ -25,6 +33,11 @@
     context.requestClass = input.method.requestClass;
     context.ranksAsRoot = input.ranksAsRoot;
     context.importance = input.config.importanceOf(input.fields.caller);
+    if (input.config.requiresCustomers()) {
+        const auto rank = customerRank(ownClassOf(input), input.routePriority, input.use, labelHashOf(context.root));
+        context.requestClass = rank.requestClass;
+        context.importance = rank.importance;
+    }
     const auto budget = input.config.retryPolicyOf(input.fields.service).budget;
     const auto tokens = std::min<std::uint32_t>(budget, input.fields.retryTokens.value_or(std::numeric_limits<std::uint16_t>::max()));
     context.retryTokens = static_cast<std::uint16_t>(tokens);
--- a/src/node/entry/entry_request.h
+++ b/src/node/entry/entry_request.h
@@ -22,8 +22,17 @@
     RequestId newRoot;
     /// Value of CallContext::ranksAsRoot.
     bool ranksAsRoot = false;
+    /// Customer that sent a root request; null for none.
+    const CustomerSpec *customer = nullptr;
+    /// Priority of the route, which decides among requests of the same class whose class the customer's priority determines.
+    std::uint32_t routePriority = 0;
+    /// Present rate of the customer divided by its limit; 0 when unknown.
+    double use = 0;
 };
 
+/// Returns the class of a root request by the priority of its customer or route. The one in its context may be higher, see customerRank().
+RequestClass ownClassOf(const ContextInput &input);
+
 /// Derives a call context from that of the parent call with the depth increased by one, or creates one for a root request.
 /// @returns the context, with the remaining time as of @a now
 CallContext makeContext(TimePoint now, const ContextInput &input);
