--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -26,6 +26,22 @@
 
 const RepeatHolderRow &rowOf(RepeatHolder value);
 
+/// When refusals state an expected time of return instead of a constant.
+enum class ReturnScheduleMode : std::uint8_t {
+    /// Where customers are configured or the local backend server states its pace.
+    Auto,
+    On,
+    Off,
+    Count,
+};
+
+struct ReturnScheduleModeRow
+{
+    std::string_view name;
+};
+
+const ReturnScheduleModeRow &rowOf(ReturnScheduleMode value);
+
 /// Settings of one node, as read from its INI file.
 struct NodeSettings
 {
@@ -81,6 +97,8 @@
     Duration fleetRetryWindow = std::chrono::seconds(10);
     RepeatHolder repeatsHeldBy = RepeatHolder::Auto;
 
+    ReturnScheduleMode returnSchedule = ReturnScheduleMode::Auto;
+
     /// Time for which the record of an idempotency key is kept.
     Duration keyLifetime = std::chrono::seconds(30);
     /// Largest accepted difference between the clocks of caller and node.
--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -6,7 +6,6 @@
 
 #include <chicoryspar/core.h>
 
-#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -51,20 +50,6 @@
 
 Rank makeRank(const CallContext &context);
 
-/// Number of label steps of a request of a customer, see customerImportance().
-constexpr std::uint8_t kLabelSteps = 5;
-
-/// Returns the importance of a request of a customer whose priority determines the request class: the route's priority decides first, then
-/// the label.
-/// @param routePriority 0 is the highest; all above 2 count as 2
-/// @param labelStep from 0 (refused first) to kLabelSteps - 1
-constexpr std::uint8_t customerImportance(std::uint32_t routePriority, std::uint8_t labelStep)
-{
-    constexpr std::uint32_t kLowestPriority = 2;
-    const auto step = labelStep < kLabelSteps ? labelStep : kLabelSteps - 1;
-    return static_cast<std::uint8_t>((kLowestPriority - std::min(routePriority, kLowestPriority)) * kLabelSteps + step);
-}
-
 /// Returns the request class of a rank or level.
 RequestClass classOf(Rank rank);
 RequestClass classOf(Level level);
@@ -143,6 +128,13 @@
     Duration coldStart = std::chrono::seconds(5);
     /// Share of the excess load that callers are told to throttle, in percent; 0 keeps the level at its lowest.
     std::uint32_t pushBack = 100;
+    /// Ranks have many importances, as customers' requests do: the rates of all classes and importances are estimated one by one.
+    bool hasManyGroups = false;
+    /// While the backlog is over its target, serves calls that can still meet their objective before those of the same class, depth and
+    /// importance that can't, and refuses at once what can't be served before its deadline.
+    bool prefersObjective = false;
+    /// States to refused calls when room is expected for them, instead of a constant.
+    bool spacesReturns = false;
 };
 
 /// One call that requests admission.
@@ -157,6 +149,8 @@
     bool isRootAdmitted = false;
     /// Shortest time in which the backend server answers such a call; zero takes the average service time of all calls.
     Duration minServiceTime{0};
+    /// Time after which the answer is worth less; used with GateOptions::prefersObjective and GateOptions::spacesReturns only.
+    TimePoint objective = TimePoint::max();
 };
 
 /// Returns whether the root request of a call was admitted at the entry node.
@@ -210,6 +204,10 @@
     std::optional<double> rateLimit;
     /// Lookups are refused because an order was refused within the last second, or because the level refuses orders.
     bool lookupsHeld = false;
+    /// How long calls have been refused for lack of room; zero if none was within the last second.
+    Duration overloadTime{0};
+    /// Calls per second offered while there was no overload; 0 while unknown.
+    double usualRate = 0;
     std::uint64_t admitted = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(RequestClass::Count)> refused{};
 };
--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -191,7 +191,8 @@
                        makeRequestId(wallNow(), m_context.random),
                        m_context.edge.usesRoutes(),
                        origin.customer,
-                       target.priority};
+                       target.priority,
+                       origin.customer && m_context.customers ? m_context.customers->use(now, origin.customer->name) : 0};
     const auto key = method.once ? checkKeyHeader(findHeader(request.headers, "Idempotency-Key").value_or("")) : KeyCheck{};
     if (!key.isValid()) {
         respond(refuseBeforeCall({.reason = key.reason,
@@ -225,7 +226,7 @@
     call.firstAttempt = isFirstAttempt;
     auto &entry = m_entries[id];
     entry.startedAt = now;
-    entry.requestClass = call.context.requestClass;
+    entry.requestClass = input.parent ? call.context.requestClass : ownClassOf(input);
     entry.root = call.context.root;
     entry.service = call.service;
     entry.requestId = m_context.edge.callToken(call);
@@ -297,6 +298,9 @@
     routed.isIdempotent = method.idempotent && !method.once;
     routed.maxBackendAttempts = target.maxBackendAttempts;
     routed.methodKey = methodKeyOf(routed.request.service, method.name);
+    if (target.latencyObjective > Duration{0}) {
+        routed.objective = m_entries.at(id).startedAt + target.latencyObjective;
+    }
     const auto callId = m_context.dispatcher->beginCall(std::move(routed), std::move(handler));
     if (m_entries.contains(id)) {
         entry.callId = callId;
--- a/src/node/settings_ini.cpp
+++ b/src/node/settings_ini.cpp
@@ -219,6 +219,23 @@
     return std::nullopt;
 }
 
+constexpr std::array<ReturnScheduleModeRow, static_cast<std::size_t>(ReturnScheduleMode::Count)> kReturnScheduleModes{{
+    {"auto"},
+    {"on"},
+    {"off"},
+}};
+
+std::optional<std::string> storeReturnSchedule(NodeSettings &settings, const KeyRow &, const std::string &value)
+{
+    const auto it =
+        std::find_if(kReturnScheduleModes.begin(), kReturnScheduleModes.end(), [&](const auto &row) { return row.name == value; });
+    if (it == kReturnScheduleModes.end()) {
+        return "'" + value + "' is none of auto, on, off";
+    }
+    settings.returnSchedule = static_cast<ReturnScheduleMode>(it - kReturnScheduleModes.begin());
+    return std::nullopt;
+}
+
 constexpr std::uint64_t kMebibyte = 1024ULL * 1024;
 
 constexpr std::array kKeys{
@@ -302,6 +319,7 @@
            .maxValue = 1'000'000},
     KeyRow{"repeats", "held_by", storeRepeatHolder},
     KeyRow{.section = "repeats", .key = "window", .store = storeDurationWithUnit, .duration = &NodeSettings::fleetRetryWindow},
+    KeyRow{"overload", "return_schedule", storeReturnSchedule},
     KeyRow{.section = "keys",
            .key = "lifetime_ms",
            .store = storeMilliseconds,
@@ -415,6 +433,11 @@
     return kRepeatHolders.at(static_cast<std::size_t>(value));
 }
 
+const ReturnScheduleModeRow &rowOf(ReturnScheduleMode value)
+{
+    return kReturnScheduleModes.at(static_cast<std::size_t>(value));
+}
+
 LoadedSettings parseNodeSettings(const std::string &text, const std::string &place)
 {
     LoadedSettings loaded;
--- a/tests/io_settings.cpp
+++ b/tests/io_settings.cpp
@@ -56,3 +56,15 @@
     EXPECT_EQ(parse("[repeats]\nheld_by = senders\n").repeatsHeldBy, RepeatHolder::Senders);
     EXPECT_EQ(parseNodeSettings(kRequired + std::string("[repeats]\nheld_by = nodes\n"), "test").findings.size(), 1U);
 }
+
+/// Guards against a misspelt mode that leaves the default in force without notice.
+TEST(Settings, ReturnScheduleHasThreeModes)
+{
+    EXPECT_EQ(parse("").returnSchedule, ReturnScheduleMode::Auto);
+    for (const auto mode : {ReturnScheduleMode::Auto, ReturnScheduleMode::On, ReturnScheduleMode::Off}) {
+        const auto settings = parse("[overload]\nreturn_schedule = " + std::string(rowOf(mode).name) + "\n");
+        EXPECT_EQ(settings.returnSchedule, mode);
+    }
+    const auto loaded = parseNodeSettings(kRequired + std::string("[overload]\nreturn_schedule = yes\n"), "test");
+    EXPECT_EQ(loaded.findings.size(), 1U);
+}
--- a/tests/test_config_customers.cpp
+++ b/tests/test_config_customers.cpp
@@ -2,10 +2,11 @@
 /// Tests of customers in the route table: whose key is accepted, which tables are refused, and the defaults of limits.
 
 #include <chicoryspar/config.h>
-#include <chicoryspar/overload.h>
 
 #include <gtest/gtest.h>
 
+#include "overload/fair_share.h"
+
 using namespace chicoryspar;
 
 namespace {
@@ -116,12 +117,12 @@
 TEST(Customers, RoutePriorityDecidesBeforeTheLabel)
 {
     for (std::uint32_t priority = 0; priority < 2; ++priority) {
-        EXPECT_GT(customerImportance(priority, 0), customerImportance(priority + 1, kLabelSteps - 1));
+        EXPECT_GT(customerImportance(priority, kLabelSteps - 1), customerImportance(priority + 1, 0));
     }
     for (std::uint8_t step = 1; step < kLabelSteps; ++step) {
-        EXPECT_GT(customerImportance(1, step), customerImportance(1, step - 1));
+        EXPECT_LT(customerImportance(1, step), customerImportance(1, step - 1));
     }
     EXPECT_EQ(customerImportance(0, kLabelSteps), customerImportance(0, kLabelSteps - 1));
     EXPECT_EQ(customerImportance(2, 3), customerImportance(1000, 3));
-    EXPECT_LE(customerImportance(0, kLabelSteps), kMaxImportance);
+    EXPECT_LT(customerImportance(0, 0), kMaxImportance);
 }
