--- a/scripts/faults_checker.py
+++ b/scripts/faults_checker.py
@@ -107,6 +107,21 @@
     return [f"root {root} reached {service} {count} times" for (service, root), count in reached.items() if count > history.max_attempts]
 
 
+def find_unauthorized(executions, outcomes, since_ms=0):
+    """Finds executions at or after since_ms of requests whose key isn't valid."""
+    roots = {it["root"] for it in outcomes}
+    return [
+        f"{it['service']} ran root {it['root']} without a valid key at {it['wallMs']}"
+        for it in executions
+        if it["event"] == "start" and it["root"] in roots and it["wallMs"] >= since_ms
+    ]
+
+
+def find_wrongly_unauthorized(outcomes):
+    """Finds requests with a valid key that were refused for want of one."""
+    return [f"request {it['number']} with a valid key ended with {it['reason']}" for it in outcomes if it["reason"] == "customer-unknown"]
+
+
 CHECKS = (
     find_double_executions,
     find_false_not_run,
--- a/src/caller/call_state.cpp
+++ b/src/caller/call_state.cpp
@@ -63,6 +63,7 @@
     case Reason::BodyTooLarge:
     case Reason::HeaderTooLarge:
     case Reason::MalformedRequest:
+    case Reason::CustomerUnknown:
         return false;
     default:
         return true;
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "scripts"))
 
-from faults_checker import History, find_violations  # noqa: E402
+from faults_checker import History, find_unauthorized, find_violations, find_wrongly_unauthorized  # noqa: E402
 
 
 def execution(event, key="k1", root="r1", instance="i1", wall_ms=1000, service="orders", result=""):
@@ -73,6 +73,15 @@
         cancelled = run()[:2] + [execution("end", result="cancelled")]
         self.expect_one_violation(History(cancelled, [], is_planned=True), "was cut")
 
+    def test_execution_without_a_valid_key(self):
+        outcomes = [outcome("not-run", key="", root="r1")]
+        executions = [execution("start", key="", root="r1", wall_ms=5000), execution("start", key="", root="r2", wall_ms=5000)]
+        self.assertEqual(len(find_unauthorized(executions, outcomes)), 1)
+        self.assertEqual(find_unauthorized(executions, outcomes, since_ms=5001), [])
+
+    def test_valid_key_refused(self):
+        self.assertEqual(len(find_wrongly_unauthorized([outcome("not-run", reason="customer-unknown"), outcome("not-run", reason="queue-full")])), 1)
+
     def test_too_many_attempts(self):
         executions = [execution("accept", key="", instance=f"i{it}") for it in range(5)]
         self.assertEqual(find_violations(History(executions, [], max_attempts=5)), [])
--- a/tools/chicoryspar_load.cpp
+++ b/tools/chicoryspar_load.cpp
@@ -14,6 +14,7 @@
 
 ABSL_FLAG(std::vector<std::string>, entries, {}, "callers' ports of entry nodes, comma-separated, such as 127.0.0.1:8080");
 ABSL_FLAG(std::string, caller, "load", "caller name, matched by caller policies");
+ABSL_FLAG(std::string, customer_key, "", "key of a customer, sent with each request; empty for none");
 ABSL_FLAG(std::string, lookup, "catalogue:/titles", "service:/path of lookups");
 ABSL_FLAG(std::string, order, "orders:/orders", "service:/path of orders, which run at most once");
 ABSL_FLAG(double, rate, 100, "mean arrival rate, requests per second");
@@ -66,6 +67,7 @@
     const auto seed = absl::GetFlag(FLAGS_seed);
     LoadInit init{
         .caller = {.entries = absl::GetFlag(FLAGS_entries), .name = absl::GetFlag(FLAGS_caller), .seed = seed, .retry = readRetry()},
+        .customerKey = absl::GetFlag(FLAGS_customer_key),
         .lookup = parseTarget(absl::GetFlag(FLAGS_lookup)),
         .order = parseTarget(absl::GetFlag(FLAGS_order)),
         .rate = absl::GetFlag(FLAGS_rate),
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -144,6 +144,9 @@
                         .target = target.path + "?n=" + number,
                         .timeout = m_init.timeout};
         request.call.once = isOrder;
+        if (!m_init.customerKey.empty()) {
+            request.call.headers.push_back({"Authorization", "Bearer " + m_init.customerKey});
+        }
         if (isOrder) {
             request.call.body = number + std::string(std::max(m_init.bodyBytes, number.size()) - number.size(), 'b');
         }
--- a/tools/load/load_run.h
+++ b/tools/load/load_run.h
@@ -27,6 +27,8 @@
 struct LoadInit
 {
     CallerInit caller;
+    /// Key sent with each request; empty for none.
+    std::string customerKey;
     Target lookup;
     Target order;
     /// Mean arrival rate, requests per second; arrivals are a Poisson process.
