chicorysparctl explain where: where a request would go now, and why

Operators could ask for the decision on a request to a service, but not for a host and path, a customer, or the upstreams that the router would choose from.

GET /v1/explain/where states route, customer and limit, class and importance, the admission level, the upstreams as the router has them and its choice. Router::preview() makes the choice on a copy of the router's state, so that the question uses up no probe or budget.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -540,6 +540,9 @@
     /// @param exclude upstreams that this call has tried
     RouteDecision choose(TimePoint now, Random &random, const RouteRequest &request, std::span<const NodeId> exclude = {});
 
+    /// Returns what choose() would return, without changing any signal or budget.
+    RouteDecision preview(TimePoint now, Random &random, const RouteRequest &request) const;
+
     /// Counts an attempt as in flight. Each needs one onResult().
     /// @param bytes size of the request, which counts against the cap on cross-region bytes
     void onSent(TimePoint now, NodeId node, std::uint32_t bytes = 0);
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -84,6 +84,8 @@
     Duration waitTimeout = std::chrono::seconds(30);
     /// Accepts fields that are unknown to this version.
     bool allowsUnknownKeys = false;
+    /// Customer whose key a request to be explained carries; empty for none.
+    std::string keyOf;
     /// Whether the error stream is a terminal that can show a progress line.
     bool isTerminal = false;
 };
--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -115,6 +115,39 @@
     }
 }
 
+/// Prints where a request would go: one table of what decides before the services, then one for the upstreams of each service.
+ExitCode explainWhere(CtlContext &context, const std::vector<std::string> &arguments)
+{
+    const auto parsed =
+        readAnswer(context,
+                   context.node->get("/v1/explain/where?method=" + encodeQuery(arguments[1]) + "&host=" + encodeQuery(arguments[2])
+                                     + "&path=" + encodeQuery(arguments[3]) + "&customer=" + encodeQuery(context.options.keyOf)));
+    if (parsed.code != ExitCode::Ok || printJson(context, parsed.json)) {
+        return parsed.code;
+    }
+    const auto &json = parsed.json;
+    const auto route = json.value("route", Json::object());
+    printTable(context.out,
+               {{"node", textOf(json, "node")},
+                {"route", textOf(route, "name") + (route.value("public", false) ? " (public)" : "")},
+                {"customer", textOf(json, "customer")},
+                {"class", textOf(json, "class") + ", importance " + textOf(json, "importance")},
+                {"refusal", json.contains("refusal") ? textOf(json, "refusal") : "none"}});
+    for (const auto &it : json.value("services", Json::array())) {
+        context.out << "\nservice " << textOf(it, "service") << ", weight " << textOf(it, "weight") << ", entry level "
+                    << textOf(it, "entryLevel") << (it.value("entryAdmits", false) ? " admits" : " refuses") << ", choice "
+                    << textOf(it, "choice") << "\n";
+        std::vector<std::vector<std::string>> rows{{"UPSTREAM", "TIER", "READY", "EJECTED", "ADMITS", "IN FLIGHT", "LATENCY MS", "WEIGHT"}};
+        for (const auto &upstream : it.value("candidates", Json::array())) {
+            rows.push_back({textOf(upstream, "node"), textOf(upstream, "tier"), textOf(upstream, "ready"), textOf(upstream, "ejected"),
+                            textOf(upstream, "admits"), textOf(upstream, "inFlight"), textOf(upstream, "latencyMs"),
+                            textOf(upstream, "weight")});
+        }
+        printTable(context.out, rows);
+    }
+    return ExitCode::Ok;
+}
+
 } // namespace
 
 ExitCode showStatus(CtlContext &context, const std::vector<std::string> &)
@@ -195,6 +228,10 @@
 
 ExitCode explainCall(CtlContext &context, const std::vector<std::string> &arguments)
 {
+    // A path begins with a slash, so these arguments don't name a service "where".
+    if (arguments.size() == 4 && arguments[0] == "where" && !arguments[2].starts_with('/')) {
+        return explainWhere(context, arguments);
+    }
     if (arguments.size() < 3) {
         context.err << "expected arguments SERVICE METHOD PATH [CALLER]\n";
         return ExitCode::Usage;
--- a/src/ctl/tables.cpp
+++ b/src/ctl/tables.cpp
@@ -33,7 +33,7 @@
     {"members", "members", &showMembers, false, true},
     {"history", "history", &showHistory, false, true},
     {"inforce", "inforce KIND NAME VERSION", &showInForce, false, true},
-    {"explain", "explain SERVICE METHOD PATH [CALLER]", &explainCall, false, true},
+    {"explain", "explain SERVICE METHOD PATH [CALLER] | explain where METHOD HOST PATH [--key_of=CUSTOMER]", &explainCall, false, true},
     {"drain", "drain", &drainNode, false, true},
     {"undrain", "undrain", &undrainNode, false, true},
 }};
--- a/src/node/control/operator_api.h
+++ b/src/node/control/operator_api.h
@@ -45,6 +45,7 @@
     OperatorAnswer answerHistory(TimePoint now, const OperatorRequest &request);
     OperatorAnswer answerInForce(TimePoint now, const OperatorRequest &request);
     OperatorAnswer answerExplain(TimePoint now, const OperatorRequest &request);
+    OperatorAnswer answerExplainWhere(TimePoint now, const OperatorRequest &request);
     OperatorAnswer answerEvents(TimePoint now, const OperatorRequest &request);
     OperatorAnswer answerMetrics(TimePoint now, const OperatorRequest &request);
     OperatorAnswer answerDrain(TimePoint now, const OperatorRequest &request);
@@ -60,7 +61,7 @@
         /// Whether the call changes the node's state; the settings can limit such calls to loopback clients.
         bool modifiesNode;
     };
-    static const std::array<Route, 10> kRoutes;
+    static const std::array<Route, 11> kRoutes;
 
     NodeContext &m_context;
     OperatorSources m_sources;
--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -77,12 +77,13 @@
 
 } // namespace
 
-const std::array<OperatorApi::Route, 10> OperatorApi::kRoutes{{
+const std::array<OperatorApi::Route, 11> OperatorApi::kRoutes{{
     {"GET", "/v1/status", &OperatorApi::answerStatus, false},
     {"GET", "/v1/members", &OperatorApi::answerMembers, false},
     {"GET", "/v1/config", &OperatorApi::answerConfig, false},
     {"GET", "/v1/history", &OperatorApi::answerHistory, false},
     {"GET", "/v1/inforce", &OperatorApi::answerInForce, false},
+    {"GET", "/v1/explain/where", &OperatorApi::answerExplainWhere, false},
     {"GET", "/v1/explain", &OperatorApi::answerExplain, false},
     {"GET", "/v1/events", &OperatorApi::answerEvents, false},
     {"GET", "/metrics", &OperatorApi::answerMetrics, false},
@@ -245,6 +246,11 @@
     return describeDecision(m_sources, now, request.query);
 }
 
+OperatorAnswer OperatorApi::answerExplainWhere(TimePoint now, const OperatorRequest &request)
+{
+    return describeWhere(m_context, now, request.query);
+}
+
 OperatorAnswer OperatorApi::answerEvents(TimePoint, const OperatorRequest &request)
 {
     const auto limit = std::min<std::uint64_t>(numberField(request.query, "limit", kDefaultEventLimit), kMaxEventLimit);
--- a/src/node/control/operator_views.h
+++ b/src/node/control/operator_views.h
@@ -39,5 +39,7 @@
 OperatorAnswer describeInForce(const OperatorSources &sources, const QueryFields &query);
 /// Reports how a request would be handled, step by step, with the configuration object behind each step.
 OperatorAnswer describeDecision(const OperatorSources &sources, TimePoint now, const QueryFields &query);
+/// Reports where a request to a host and path would go now, and why, without sending it.
+OperatorAnswer describeWhere(NodeContext &context, TimePoint now, const QueryFields &query);
 
 } // namespace chicoryspar
--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -181,6 +181,12 @@
     return views;
 }
 
+RouteDecision Dispatcher::previewRoute(TimePoint now, const std::string &service, Rank rank)
+{
+    auto random = m_context.random;
+    return serviceOf(now, service).router.preview(now, random, RouteRequest{.rank = rank});
+}
+
 Level Dispatcher::entryLevel(TimePoint now, std::uint64_t methodKey) const
 {
     return m_levelCache.level(now, methodKey);
--- a/src/node/entry/dispatcher.h
+++ b/src/node/entry/dispatcher.h
@@ -54,6 +54,9 @@
     /// Returns the state of each upstream of @a service as its router has it.
     std::vector<CandidateView> explainRoutes(TimePoint now, const std::string &service);
 
+    /// Returns the choice that the router of @a service would make now for a root request, without making it.
+    RouteDecision previewRoute(TimePoint now, const std::string &service, Rank rank);
+
     /// Returns the admission level below which this node refuses root requests before routing them.
     /// @param methodKey as in RoutedRequest
     Level entryLevel(TimePoint now, std::uint64_t methodKey) const;
--- a/src/overload/router.cpp
+++ b/src/overload/router.cpp
@@ -315,6 +315,12 @@
     return Choice{*m_state, now, random, request, exclude}.run();
 }
 
+RouteDecision Router::preview(TimePoint now, Random &random, const RouteRequest &request) const
+{
+    auto state = *m_state;
+    return Choice{state, now, random, request, {}}.run();
+}
+
 void Router::onSent(TimePoint now, NodeId node, std::uint32_t bytes)
 {
     auto &state = *m_state;
--- a/tests/io_ctl.cpp
+++ b/tests/io_ctl.cpp
@@ -88,3 +88,45 @@
     EXPECT_EQ(applyText(context, policyText(R"({"budget":1})")), ExitCode::Ok);
     EXPECT_EQ(server.calls(standin::CallKind::Create), 0U);
 }
+
+namespace {
+
+/// Node that keeps the path of the last request and gives one answer.
+class FakeNode : public NodeClient
+{
+public:
+    NodeAnswer get(const std::string &path) override
+    {
+        lastPath = path;
+        return answer;
+    }
+    NodeAnswer post(const std::string &) override
+    {
+        return {};
+    }
+
+    NodeAnswer answer;
+    std::string lastPath;
+};
+
+} // namespace
+
+// A service may be called "where"; its method and path must not be taken for a host.
+TEST_F(CtlTest, ExplainWhereAsksForTheHostAndPrintsTheChoice)
+{
+    FakeNode node;
+    node.answer = {200,
+                   R"({"node":"n1","route":{"name":"r","public":false},"customer":{"name":"c 1"},"class":"order","importance":14,)"
+                   R"("services":[{"service":"s","weight":1,"entryLevel":0,"entryAdmits":true,"choice":{"node":"n2","why":"own-zone"},)"
+                   R"("candidates":[{"node":"n2","tier":"own-zone","ready":true,"inFlight":3}]}]})"};
+    auto context = makeContext("ines");
+    context.node = &node;
+    context.options.keyOf = "c 1";
+    EXPECT_EQ(explainCall(context, {"where", "GET", "a.example", "/x"}), ExitCode::Ok);
+    EXPECT_EQ(node.lastPath, "/v1/explain/where?method=GET&host=a.example&path=%2Fx&customer=c%201");
+    for (const auto *it : {"refusal", "none", "n2", "own-zone", "service s, weight 1, entry level 0 admits"}) {
+        EXPECT_NE(out.str().find(it), std::string::npos) << it << " in " << out.str();
+    }
+    explainCall(context, {"where", "GET", "/x", "caller"});
+    EXPECT_EQ(node.lastPath, "/v1/explain?service=where&method=GET&path=%2Fx&caller=caller");
+}
--- a/tests/io_entry_customers.cpp
+++ b/tests/io_entry_customers.cpp
@@ -3,6 +3,7 @@
 /// entry node: the parts of one node between a client's socket and that of a backend server.
 
 #include "node/clock.h"
+#include "node/control/operator_views.h"
 #include "node/entry/dispatcher.h"
 #include "node/entry/entry_service.h"
 #include "node/keys/key_service.h"
@@ -15,6 +16,7 @@
 #include <sstream>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <boost/asio.hpp>
 
@@ -306,6 +308,25 @@
     EXPECT_EQ(readLine(backend.heads.back(), "X-Tenant"), "X-Tenant: customer-a");
 }
 
+TEST_F(EntryCustomers, ExplanationStatesWhatARequestWouldMeet)
+{
+    configure(customersWith(kKey));
+    const auto explain = [this](const std::string &path, const std::string &customer) {
+        const auto answer = describeWhere(context, steadyNow(), {{"method", "GET"}, {"host", "A"}, {"path", path}, {"customer", customer}});
+        return nlohmann::json::parse(answer.body);
+    };
+    const auto own = explain("/own/x", "customer-a");
+    EXPECT_EQ(own["class"], "order");
+    EXPECT_EQ(own["services"][0]["choice"]["node"], "node");
+    EXPECT_EQ(own["services"][0]["candidates"].size(), 1U);
+    EXPECT_FALSE(own.contains("refusal"));
+    EXPECT_EQ(explain("/own/x", "")["refusal"], "customer-unknown");
+    EXPECT_FALSE(explain("/open/x", "").contains("refusal"));
+    EXPECT_EQ(explain("/none/x", "")["refusal"], "unknown-service");
+    EXPECT_EQ(explain("/own/x", "nobody")["status"], 404);
+    EXPECT_TRUE(backend.heads.empty()) << "nothing is sent";
+}
+
 TEST_F(EntryCustomers, KeysAppearInNoLogLineEventOrMetric)
 {
     const auto path = testing::TempDir() + "entry_customers.log";
--- a/tests/test_overload_router.cpp
+++ b/tests/test_overload_router.cpp
@@ -228,6 +228,25 @@
     EXPECT_EQ(router.choose(now, random, {}).route, RouteReason::OwnZone);
 }
 
+// An explanation that used up the probe of an upstream would keep its level from being refreshed.
+TEST(Router, PreviewIsTheNextChoiceAndChangesNothing)
+{
+    Random random(1);
+    TimePoint now{1h};
+    Router router(now, {.crossRegionBytesPerSecond = 0});
+    router.setCandidates(now, makeCandidates());
+    const auto refuseLookups = [](NodeId) { return RouteResult{.latency = 5ms, .level = Level{lowestRank(RequestClass::Order).value}}; };
+    send(router, now, random, {}, refuseLookups);
+    send(router, now, random, {}, refuseLookups);
+    now += 150ms;
+    const auto preview = router.preview(now, random, {});
+    EXPECT_EQ(preview.route, RouteReason::Probe);
+    EXPECT_EQ(router.preview(now, random, {}).route, RouteReason::Probe);
+    const auto choice = router.choose(now, random, {});
+    EXPECT_EQ(choice.route, RouteReason::Probe);
+    EXPECT_EQ(choice.node, preview.node);
+}
+
 /// Guards against ejections on a fault that all upstreams share: their failure rates are high, but none differs from the median.
 TEST(Router, EjectsAnOutlierButNoneOnACommonFault)
 {
--- a/tools/chicorysparctl.cpp
+++ b/tools/chicorysparctl.cpp
@@ -28,6 +28,7 @@
 ABSL_FLAG(bool, diff, false, "print the fields that change");
 ABSL_FLAG(bool, wait, false, "wait until the change is in force on every node");
 ABSL_FLAG(std::uint32_t, timeout_s, 30, "timeout of --wait, in seconds");
+ABSL_FLAG(std::string, key_of, "", "explain where: name of the customer whose key the request carries");
 ABSL_FLAG(bool, allow_unknown, false, "accept fields that are unknown to this version");
 
 namespace {
@@ -145,6 +146,7 @@
                                         .waitsUntilInForce = absl::GetFlag(FLAGS_wait),
                                         .waitTimeout = std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s)),
                                         .allowsUnknownKeys = absl::GetFlag(FLAGS_allow_unknown),
+                                        .keyOf = absl::GetFlag(FLAGS_key_of),
                                         .isTerminal = isatty(STDERR_FILENO) == 1},
                             .store = store.get(),
                             .node = nodeClient.get(),
