Entry: a call for a parent that was given up gets 503 instead of 401

A backend server that goes on with a call after its gate gave it up (timeout, client gone) makes calls whose parent is no longer known. 401 told it that they lacked a key, and counted as valid requests refused for want of one.

The gate remembers the calls that ended without an answer for 30 s, 1,024 at most and only where customers are configured. A call without a key for one of them is refused as cancelled, not executed.

--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -122,7 +122,7 @@
 
 /// Finds out whose request it is. Only a request without a key can be a call of the backend server if its parent was inferred from a field
 /// that clients may set as well.
-EntryService::Origin EntryService::findOrigin(EntryRole role, const EntryFields &fields, const Target &target) const
+EntryService::Origin EntryService::findOrigin(TimePoint now, EntryRole role, const EntryFields &fields, const Target &target) const
 {
     auto parent = findParent(role, fields);
     if (role == EntryRole::Backend && !fields.parentToken.empty() && !parent && !fields.isParentInferred) {
@@ -135,7 +135,12 @@
     if (target.isPublic) {
         return {};
     }
-    const auto *customer = fields.credential ? m_context.config.findCustomerByDigest(*fields.credential) : nullptr;
+    if (!fields.credential) {
+        // 401 would tell a backend server that goes on with a call that was given up that it may not make its calls at all.
+        const bool isLate = !fields.parentToken.empty() && m_context.gate->hasAbandoned(now, fields.parentToken);
+        return {.reason = isLate ? Reason::Cancelled : Reason::CustomerUnknown};
+    }
+    const auto *customer = m_context.config.findCustomerByDigest(*fields.credential);
     return {.customer = customer, .reason = customer ? Reason::None : Reason::CustomerUnknown};
 }
 
@@ -173,7 +178,7 @@
         // The route's timeout, set by the operator, caps the caller's.
         fields.timeout = std::min(fields.timeout.value_or(method.defaultTimeout), method.defaultTimeout);
     }
-    auto origin = findOrigin(role, fields, target);
+    auto origin = findOrigin(now, role, fields, target);
     if (origin.reason != Reason::None) {
         respond(refuseBeforeCall({.reason = origin.reason,
                                   .outcome = outcomeOfEntryRefusal(request, origin.reason),
--- a/src/node/entry/entry_service.h
+++ b/src/node/entry/entry_service.h
@@ -104,7 +104,7 @@
     HttpResponse answerReadiness() const;
     Target findTarget(const EntryFields &fields, const HttpRequest &request);
     std::optional<GateService::Parent> findParent(EntryRole role, const EntryFields &fields) const;
-    Origin findOrigin(EntryRole role, const EntryFields &fields, const Target &target) const;
+    Origin findOrigin(TimePoint now, EntryRole role, const EntryFields &fields, const Target &target) const;
 
     NodeContext &m_context;
     std::array<std::unique_ptr<PortHandler>, static_cast<std::size_t>(EntryRole::Count)> m_handlers;
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -21,6 +21,9 @@
 constexpr int kServiceTimeSamples = 20;
 /// Maximum number of routes whose mean service times are kept.
 constexpr std::size_t kMaxRoutes = 256;
+/// Time for which a call that ended without an answer is remembered: longer than a slow backend server runs on.
+constexpr Duration kAbandonedRetention = std::chrono::seconds(30);
+constexpr std::size_t kMaxAbandonedCalls = 1024;
 /// Number of child calls among which a running call is assumed to divide its retry tokens.
 constexpr std::uint16_t kChildTokenSiblings = 2;
 
@@ -344,6 +347,9 @@
     m_calls.erase(it);
     m_ticketsByToken.erase(call.token);
     cancelChildren(call);
+    if (call.exchangeId != 0 && answer.outcome == Outcome::Unknown) {
+        rememberAbandoned(steadyNow(), call);
+    }
     answer.retryTokensLeft = call.budget.left();
     answer.tokensReturned = true;
     answer.node = m_context.settings.name;
@@ -400,6 +406,24 @@
     return Parent{call.request.context, call.deadline, call.request.caller};
 }
 
+void GateService::rememberAbandoned(TimePoint now, const Call &call)
+{
+    if (!m_context.config.requiresCustomers()) {
+        return;
+    }
+    if (m_abandonedCalls.size() >= kMaxAbandonedCalls) {
+        m_abandonedCalls.pop_front();
+    }
+    m_abandonedCalls.push_back({hashBytes(call.token), now});
+}
+
+bool GateService::hasAbandoned(TimePoint now, std::string_view token) const
+{
+    const auto hash = hashBytes(token);
+    return std::any_of(m_abandonedCalls.begin(), m_abandonedCalls.end(),
+                       [&](const AbandonedCall &it) { return it.tokenHash == hash && now - it.endedAt < kAbandonedRetention; });
+}
+
 std::uint16_t GateService::grantTokens(const std::string &token, std::uint64_t child)
 {
     const auto it = m_ticketsByToken.find(token);
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -57,6 +57,10 @@
     /// Returns the running call with this token, or nothing when it has ended.
     std::optional<Parent> findParent(const std::string &token) const;
 
+    /// Returns whether the call with this token ended a short time ago without an answer, so that the backend server may still run it.
+    /// Remembered only where customers are configured, because only there a child call without a known parent is refused.
+    bool hasAbandoned(TimePoint now, std::string_view token) const;
+
     /// Takes retry tokens of a running call for one of its child calls.
     /// @param token identifies the running call
     /// @param child identifies the child call; also for returnTokens(), addChild() and removeChild()
@@ -136,6 +140,7 @@
     void onResult(std::uint64_t ticket, BackendResult result);
     void finish(std::uint64_t ticket, CallAnswer answer);
     void cancelChildren(const Call &call);
+    void rememberAbandoned(TimePoint now, const Call &call);
     BackendOutcome judgeResponse(const Call &call, const HttpResponse &response) const;
     HttpRequest makeBackendRequest(TimePoint now, Call &call) const;
     Duration exchangeTimeout(TimePoint now, const Call &call) const;
@@ -174,6 +179,14 @@
     std::unordered_map<std::uint64_t, Call> m_calls;
     std::unordered_map<std::string, std::uint64_t> m_ticketsByToken;
     std::uint64_t m_lastTicket = 0;
+    /// A dispatched call that ended without an answer.
+    struct AbandonedCall
+    {
+        std::uint64_t tokenHash = 0;
+        TimePoint endedAt;
+    };
+    /// Oldest first.
+    std::deque<AbandonedCall> m_abandonedCalls;
     std::unordered_map<std::string, Duration> m_meanServiceTimes;
     /// Snapshot at the last comparison in recordGateChanges().
     GateSnapshot m_recordedSnapshot;
--- a/tests/io_entry_customers.cpp
+++ b/tests/io_entry_customers.cpp
@@ -308,6 +308,20 @@
     EXPECT_EQ(readLine(backend.heads.back(), "X-Tenant"), "X-Tenant: customer-a");
 }
 
+// Backend servers run on for a while after the client has gone; their calls were never sent with a wrong key.
+TEST_F(EntryCustomers, CallForAParentThatWasGivenUpIsNotTakenForOneWithoutAKey)
+{
+    configure(customersWith(kKey));
+    {
+        auto socket = connect();
+        send(socket, "/own/hold", "p", kValid);
+    }
+    ASSERT_EQ(backend.heads.size(), 1U);
+    EXPECT_TRUE(call("/own/x", "", "p.1").starts_with("HTTP/1.1 503"));
+    EXPECT_TRUE(isUnauthorized(call("/own/x", "", "q.1")));
+    EXPECT_EQ(backend.heads.size(), 1U);
+}
+
 TEST_F(EntryCustomers, ExplanationStatesWhatARequestWouldMeet)
 {
     configure(customersWith(kKey));
