--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -808,6 +808,9 @@
     /// @param exclude upstreams that this call has tried
     RouteDecision choose(TimePoint now, Random &random, const RouteRequest &request, std::span<const NodeId> exclude = {});
 
+    /// Returns what choose() would return, without changing any signal or budget.
+    RouteDecision preview(TimePoint now, Random &random, const RouteRequest &request) const;
+
     /// Counts an attempt as in flight. Each needs one onResult().
     /// @param bytes size of the request, which counts against the cap on cross-region bytes
     /// @param expectedWork as in the RouteRequest
--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -211,6 +211,12 @@
     return text;
 }
 
+RouteDecision Dispatcher::previewRoute(TimePoint now, const std::string &service, Rank rank)
+{
+    auto random = m_context.random;
+    return serviceOf(now, service).router.preview(now, random, RouteRequest{.rank = rank});
+}
+
 Level Dispatcher::entryLevel(TimePoint now, std::uint64_t methodKey) const
 {
     return m_levels.level(now, methodKey);
--- a/src/node/entry/dispatcher.h
+++ b/src/node/entry/dispatcher.h
@@ -60,6 +60,9 @@
     /// Returns metrics of the placement of calls in the Prometheus text format; empty where no upstream reports its load.
     std::string renderPlacementMetrics(TimePoint now) const;
 
+    /// Returns the choice that the router of @a service would make now for a root request, without making it.
+    RouteDecision previewRoute(TimePoint now, const std::string &service, Rank rank);
+
     /// Returns the admission level below which this node refuses root requests before routing them.
     /// @param methodKey as in RoutedRequest
     Level entryLevel(TimePoint now, std::uint64_t methodKey) const;
