--- a/src/node/customer/customer_limits.cpp
+++ b/src/node/customer/customer_limits.cpp
@@ -7,6 +7,7 @@
 #include "node/log.h"
 #include "node/peers/membership_driver.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace chicoryspar {
@@ -15,18 +16,6 @@
 /// Minimum interval between log lines about modes. Buckets of few tokens become low often.
 constexpr Duration kLogInterval = std::chrono::seconds(1);
 
-/// Returns the customers of the route table, or null without any.
-const std::vector<CustomerSpec> *findCustomers(const ConfigSet &config)
-{
-    for (const auto &it : config.objectsInForce()) {
-        const auto *table = std::get_if<RouteTableSpec>(&it.object->spec);
-        if (table && table->customers) {
-            return &*table->customers;
-        }
-    }
-    return nullptr;
-}
-
 } // namespace
 
 CustomerLimits::CustomerLimits(NodeContext &context, MembershipDriver &membership)
@@ -48,11 +37,9 @@
 void CustomerLimits::applyConfig(TimePoint now)
 {
     std::vector<CustomerLimit> limits;
-    if (const auto *customers = findCustomers(m_context.config)) {
-        for (const auto &it : *customers) {
-            if (it.requestsPerSecond > 0) {
-                limits.push_back({customerKeyOf(it.name), it.requestsPerSecond, it.burst});
-            }
+    for (const auto *it : m_context.config.customers()) {
+        if (it->requestsPerSecond > 0) {
+            limits.push_back({customerKeyOf(it->name), it->requestsPerSecond, it->burst});
         }
     }
     m_hasLimits = !limits.empty();
@@ -175,14 +162,10 @@
 
 std::string CustomerLimits::nameOf(CustomerKey customer) const
 {
-    if (const auto *customers = findCustomers(m_context.config)) {
-        for (const auto &it : *customers) {
-            if (customerKeyOf(it.name) == customer) {
-                return it.name;
-            }
-        }
-    }
-    return {};
+    const auto &customers = m_context.config.customers();
+    const auto it = std::find_if(customers.begin(), customers.end(),
+                                 [customer](const auto *candidate) { return customerKeyOf(candidate->name) == customer; });
+    return it != customers.end() ? (*it)->name : std::string();
 }
 
 void CustomerLimits::logModeChanges(TimePoint now)
