Rate limits of customers: detached nodes begin with a quarter of their share

Cause: when a third of the nodes is cut off together with the owner at the moment at which a customer goes to 3.9 times its limit, the bound was exceeded by up to 17 requests of 416 (limit of 60 requests/s): each open node on the other side admits a request before it notices.

Change: for the first 4 s without an answer, a node spends a quarter of its share, not half of it. The test of the partition has the owner on each side.

--- a/src/customer/customer_node.cpp
+++ b/src/customer/customer_node.cpp
@@ -30,9 +30,10 @@
 /// wait.
 constexpr Duration kDoubtTime = std::chrono::milliseconds(150);
 /// For this time without an answer, a node spends only this fraction of its share: owners that this node can't reach still grant the whole
-/// limit until the membership suspects it.
+/// limit until the membership suspects it. With 0.35, a customer whose demand rose when a third of the nodes was cut off with its owner
+/// exceeded the bound by 2 % in the model.
 constexpr Duration kReducedTime = std::chrono::seconds(4);
-constexpr double kReducedFraction = 0.5;
+constexpr double kReducedFraction = 0.25;
 /// After an answer of the owner, a node that admits without asking may go on for this time. The owner notifies it for longer.
 constexpr Duration kOpenTime = std::chrono::seconds(30);
 /// A record is kept for this time after the last request; longer than the owner keeps what it knows about the node.
--- a/tests/test_customer_limits.cpp
+++ b/tests/test_customer_limits.cpp
@@ -67,20 +67,26 @@
     }
 }
 
-// Guards against both sides of a partition spending the whole limit, also after it ends.
+// Guards against both sides of a partition spending the whole limit, also after it ends. The owner is on either side.
 TEST(CustomerLimits, PartitionOfAThirdKeepsTheBound)
 {
+    std::array<int, 2> ownersCut{};
     for (const auto &[rate, burst] : kLimits) {
-        CustomerModel model({.seed = 4, .requestsPerSecond = rate, .burst = burst});
-        model.run(5s, rate * kUsual);
-        model.partition(29);
-        model.spreadViews(6s);
-        model.run(15s, rate * kHot);
-        model.partition(0);
-        model.spreadViews(1s);
-        model.run(10s, rate * kHot);
-        EXPECT_LE(model.worstExcess(), 0) << rate;
+        for (const std::uint64_t seed : {500, 503}) {
+            CustomerModel model({.seed = seed, .requestsPerSecond = rate, .burst = burst});
+            ++ownersCut.at(model.ownerIndex() < 29 ? 1 : 0);
+            model.run(5s, rate * kUsual);
+            model.partition(29);
+            model.spreadViews(6s);
+            model.run(15s, rate * kHot);
+            model.partition(0);
+            model.spreadViews(1s);
+            model.run(10s, rate * kHot);
+            EXPECT_LE(model.worstExcess(), 0) << rate << " seed " << seed;
+        }
     }
+    EXPECT_GT(ownersCut[0], 0);
+    EXPECT_GT(ownersCut[1], 0);
 }
 
 // Guards against a bucket that keeps tokens of a higher limit.
