--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -252,7 +252,7 @@
 void EntryService::beginLimitedCall(TimePoint now, std::uint64_t id, const CustomerSpec *customer, CallRequest request,
                                     const Target &target, TimePoint deadline)
 {
-    if (!customer || customer->requestsPerSecond <= 0) {
+    if (!customer || customer->requestsPerSecond <= 0 || !m_context.customers) {
         beginCall(id, m_entries.at(id), std::move(request), target, deadline);
         return;
     }
