--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -413,26 +413,30 @@
     bool isDescendant = false;
 };
 
-/// Token bucket of one gate for repeats. Its gates divide the extra repeats of a service, so that in each window all of them dispatch at
-/// most RepeatBudgetOptions::ratio repeats per first arrival plus RepeatBudgetOptions::extra. While more repeats are offered than tokens
-/// gained, those of the roots with the highest hashes get them: all gates then serve the same roots, whose calls all succeed, instead of a
-/// few calls of every root.
+/// Repeats that one gate may dispatch. Its gates divide the extra repeats of a service, so that in each kWindow all of them dispatch at
+/// most RepeatBudgetOptions::ratio repeats per first arrival, in this window or in the one before, plus RepeatBudgetOptions::extra. Half of
+/// the ratio fills a token bucket; the other half is earned by the arrivals of the window before, so that an incident of a few seconds can
+/// use what ten seconds allow. While more repeats are offered than can be dispatched, those of the roots with the highest hashes are
+/// chosen: all gates then serve the same roots, whose calls all succeed, instead of a few calls of every root.
 class RepeatBudget
 {
 public:
+    static constexpr Duration kWindow = std::chrono::seconds(10);
+
     /// Starts without tokens, so that a restart grants none.
     explicit RepeatBudget(TimePoint now);
 
-    /// Applies new settings; to be called again as time passes, because a smaller number of gates takes effect after a delay.
+    /// Applies new settings. To be called again as time passes, because a smaller number of gates takes effect after a delay.
     void configure(TimePoint now, const RepeatBudgetOptions &options);
 
     /// Counts a first arrival that is dispatched.
-    void onFirstArrival();
+    void onFirstArrival(TimePoint now);
 
     /// Takes one token for a repeat that is about to be dispatched.
     /// @returns false when the repeat must not be dispatched
     bool takeRepeat(TimePoint now, const RepeatRequest &request);
 
+    /// Returns the repeats that may be dispatched now, and the most that this can be.
     double tokens() const;
     double capacity() const;
     /// Share of the roots whose repeats are served, 0 to 1.
@@ -440,9 +444,25 @@
 
 private:
     static constexpr std::size_t kBins = 64;
+    static constexpr std::size_t kSlotsPerWindow = 20;
+    static constexpr std::size_t kSlots = 2 * kSlotsPerWindow;
+    static constexpr Duration kSlotLength{kWindow.count() / static_cast<std::int64_t>(kSlotsPerWindow)};
+
+    /// Arrivals in a part of a window.
+    struct Slot
+    {
+        std::uint32_t firsts = 0;
+        /// Repeats that were taken from the bank.
+        std::uint32_t banked = 0;
+    };
 
     void updateGateCount(TimePoint now, std::uint32_t gates);
+    void advance(TimePoint now);
+    void advanceSlots(TimePoint now);
+    double bankBalance() const;
+    double releaseLimit() const;
     void updateRates(TimePoint now);
+    void updateServedShare();
     bool mayTake(const RepeatRequest &request) const;
 
     RepeatBudgetOptions m_options;
@@ -452,8 +472,15 @@
     std::uint32_t m_gates = 1;
     TimePoint m_gatesSeenAt;
     std::uint32_t m_fewerGates = 0;
+    /// Tokens of the bucket.
     double m_capacity = 0;
     double m_tokens = 0;
+    /// Repeats that the arrivals of the window before allow in all windows that include the present, and the part of them released for use.
+    double m_bank = 0;
+    double m_released = 0;
+    std::array<Slot, kSlots> m_slots{};
+    /// Number of the current slot since the epoch of the clock.
+    std::int64_t m_slot = 0;
     /// Tokens gained, and repeats offered, since m_ratesUpdatedAt.
     double m_gained = 0;
     double m_descendantsOffered = 0;
--- a/src/node/gate/gate_repeats.cpp
+++ b/src/node/gate/gate_repeats.cpp
@@ -58,7 +58,7 @@
     if (call.isRepeat) {
         ++m_counts.dispatched;
     } else {
-        m_budget.onFirstArrival();
+        m_budget.onFirstArrival(now);
     }
     return Reason::None;
 }
