--- a/tests/io_backend_signals.cpp
+++ b/tests/io_backend_signals.cpp
@@ -179,6 +179,28 @@
     EXPECT_GE(backend.requestCount, kLimit * 4 * 8 / 10U);
 }
 
+// Guards against load reports of earlier deployments, whose backend servers state no pace, and against a pace of an instance that has gone.
+TEST_F(BackendSignals, AnswersReportTheLoadOnlyWhileAPaceIsStated)
+{
+    for (const auto *it : {"", "X-Server-Load: 3,0,8\r\n", "X-Server-Load: 3,0,8,0\r\n"}) {
+        backend.signals = it;
+        offer(20, 100ms);
+        ASSERT_FALSE(answers.empty());
+        EXPECT_FALSE(answers.back().load) << it;
+    }
+    backend.signals = "X-Server-Load: 3,0,8,250\r\n";
+    offer(20, 200ms);
+    const auto load = answers.back().load;
+    ASSERT_TRUE(load);
+    EXPECT_EQ(load->pacePercent, 250U);
+    EXPECT_LT(load->paceAge, Duration(200ms));
+    EXPECT_LT(load->outstandingWork, Duration(100ms));
+    restartNode();
+    backend.signals.clear();
+    offer(20, 100ms);
+    EXPECT_FALSE(answers.back().load);
+}
+
 TEST_F(BackendSignals, LimitEndsWhenAnswersNoLongerStateIt)
 {
     backend.signals = "Server-Limit: 10\r\n";
