--- a/src/node/gate/gate_signals.cpp
+++ b/src/node/gate/gate_signals.cpp
@@ -19,6 +19,10 @@
     }
     if (signals.load && signals.load->pacePercent) {
         m_repeats.onPaceStated();
+        if (!m_loadMeter.hasPace(now) && tryTakeDecisionLogToken()) {
+            writeLog(LogLevel::Info, "the backend server states its pace; answers report the load of this gate",
+                     {{"instance", instance}, {"pacePercent", std::to_string(*signals.load->pacePercent)}});
+        }
         m_loadMeter.setPace(now, *signals.load->pacePercent);
     }
     if (signals.rateLimit) {
