--- a/tests/test_overload_repeats.cpp
+++ b/tests/test_overload_repeats.cpp
@@ -400,8 +400,23 @@
     EXPECT_EQ(budget.capacity(), share);
     budget.configure(kStart + 11min, optionsFor(2));
     EXPECT_NEAR(budget.capacity(), share * 2, 0.01);
+    for (int n = 0; n < 1000; ++n) {
+        budget.onFirstArrival(kStart + 12min);
+    }
     budget.configure(kStart + 12min, optionsFor(12));
     EXPECT_NEAR(budget.capacity(), share / 2, 0.01);
+    EXPECT_LE(budget.tokens(), budget.capacity());
+}
+
+// A process that has started on the smaller side of a partition doesn't know the other gates.
+TEST(RepeatBudget, YoungProcessHoldsLittleOfTheExtra)
+{
+    RepeatBudget budget(kStart);
+    const std::array<std::pair<Duration, double>, 4> capacities{{{0s, 1}, {4s, 1}, {6s, kExtra * 0.05}, {11min, kExtra * 0.8}}};
+    for (const auto &[age, capacity] : capacities) {
+        budget.configure(kStart + age, optionsFor(1));
+        EXPECT_NEAR(budget.capacity(), capacity, 0.01);
+    }
 }
 
 // Work that was repeated already would be lost at the next service.
@@ -409,15 +424,36 @@
 {
     auto budget = makeBudget(kStart, 6, 0);
     std::array<int, 2> refused{};
-    for (int n = 0; n < 20000; ++n) {
-        const auto now = kStart + std::chrono::microseconds(500) * n;
+    auto now = kStart;
+    for (int n = 0; n < 20000; ++n, now += 500us) {
         budget.onFirstArrival(now);
         const Rank rank{static_cast<std::uint32_t>(n * 7919U) % kHashSpan};
         refused[0] += budget.takeRepeat(now, {.rank = rank}) ? 0 : 1;
-        refused[1] += n % 10 == 0 && !budget.takeRepeat(now, {.rank = rank, .isDescendant = true}) ? 1 : 0;
+        refused[1] += n % 20 == 0 && !budget.takeRepeat(now, {.rank = rank, .isDescendant = true}) ? 1 : 0;
     }
     EXPECT_GT(refused[0], 10000);
     EXPECT_LT(refused[1], 20);
+    for (int n = 0; n < 1000; ++n) {
+        budget.onFirstArrival(now);
+        budget.takeRepeat(now, {.rank = {kHashSpan - 1}});
+    }
+    EXPECT_TRUE(budget.takeRepeat(now, {.isDescendant = true}));
+}
+
+TEST(RepeatBudget, FullBucketServesEveryRoot)
+{
+    auto budget = makeBudget(kStart, 6, 0);
+    auto now = kStart;
+    for (int n = 0; n < 2000; ++n, now += 1ms) {
+        budget.onFirstArrival(now);
+        budget.takeRepeat(now, {.isDescendant = true});
+        budget.takeRepeat(now, {.rank = {static_cast<std::uint32_t>(n * 7919U) % kHashSpan}});
+    }
+    ASSERT_LT(budget.servedShare(), 0.1);
+    for (int n = 0; n < 200; ++n, now += 1ms) {
+        budget.onFirstArrival(now);
+    }
+    EXPECT_TRUE(budget.takeRepeat(now, {.rank = {0}}));
 }
 
 // A repeat that ends further down the call chain costs tokens and work for nothing.
