Nodes: one switch for what customers and uneven backend servers call for

Cause: a gate bounded repeats only if its own backend server states a pace.

Change: NodeContext::hasCustomersOrPace() answers for gates, queues and refusals: customers are configured, or the node has seen the pace of the local backend server or of any upstream.

--- a/include/chicoryspar/node.h
+++ b/include/chicoryspar/node.h
@@ -12,7 +12,7 @@
 
 /// Who holds the budget that bounds the retries of the deployment at one service.
 enum class RepeatHolder : std::uint8_t {
-    /// The gates whose backend servers state their pace; for others, the senders.
+    /// The gates, once customers are configured or a backend server of the deployment has stated its pace; before that the senders.
     Auto,
     Gates,
     Senders,
@@ -28,7 +28,7 @@
 
 /// When refusals state an expected time of return instead of a constant.
 enum class ReturnScheduleMode : std::uint8_t {
-    /// Where customers are configured or the local backend server states its pace.
+    /// Once customers are configured or a backend server of the deployment has stated its pace.
     Auto,
     On,
     Off,
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -29,6 +29,11 @@
     clock.observe(HybridTime{value}, wallNow());
 }
 
+bool NodeContext::hasCustomersOrPace() const
+{
+    return hasSeenPace || config.requiresCustomers();
+}
+
 HybridTime NodeContext::tick()
 {
     return clock.tick(wallNow());
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -59,6 +59,11 @@
     /// Adds an event with the current hybrid time to the event buffer of this node.
     void recordEvent(Event event);
 
+    /// Returns whether the deployment calls for what serves customers and uneven backend servers: gates hold the budget of repeats, waiting
+    /// calls are served by their objectives, and refusals state when to return. One answer for the whole node, because the services at the
+    /// end of a call chain need it even if only backend servers at its start state their pace.
+    bool hasCustomersOrPace() const;
+
     /// Advances the hybrid clock and returns its time, for an event or an outgoing message.
     HybridTime tick();
 
@@ -83,6 +88,8 @@
     /// Advertised "address:port" of the operator API; empty until it listens.
     std::string operatorsAddress;
     bool isStopping = false;
+    /// A backend server of the deployment has stated its pace, the local one or that of an upstream.
+    bool hasSeenPace = false;
 
     GateService *gate = nullptr;
     PeerSet *peers = nullptr;
--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -338,6 +338,7 @@
     }
     auto &target = serviceOf(now, service);
     recordLoad(call.routed, call.expectedWork, answer, target.work, result);
+    m_context.hasSeenPace = m_context.hasSeenPace || (answer.load && answer.load->pacePercent > 0);
     target.router.onResult(now, call.node, result);
     recordRepeatTokens(now, service, answer);
     if (answer.tokensReturned) {
--- a/src/node/gate/gate_backend.cpp
+++ b/src/node/gate/gate_backend.cpp
@@ -56,7 +56,6 @@
         m_loadMeter.restart();
         m_hasAnswered = false;
         m_hasStatedLeave = false;
-        m_hasStatedPace = false;
         m_rateLimit.reset();
         m_isConfirmed = false;
         m_isHealthCheckRunning = false;
@@ -144,6 +143,9 @@
         recordReadinessChange(before);
         m_context.backendChanged.emitChange(now);
     }
+    if (m_isObjectiveApplied != usesObjectives()) {
+        applyPolicy(now);
+    }
     refuseWaitingCalls(now);
     m_repeats.refresh(now, m_announcement.service);
     m_context.events.flushRefusals(now, m_context.tick());
--- a/src/node/gate/gate_policy.cpp
+++ b/src/node/gate/gate_policy.cpp
@@ -32,7 +32,7 @@
 
 bool GateService::usesObjectives() const
 {
-    return m_context.config.requiresCustomers() || m_hasStatedPace;
+    return m_context.hasCustomersOrPace();
 }
 
 bool GateService::spacesReturns() const
@@ -71,6 +71,7 @@
         // The configuration that names the health check path may have arrived after the announcement.
         startHealthCheck(now);
     }
+    m_isObjectiveApplied = usesObjectives();
     m_gate.configure(now, gateOptions());
     pollGate(now);
 }
--- a/src/node/gate/gate_repeats.cpp
+++ b/src/node/gate/gate_repeats.cpp
@@ -21,15 +21,11 @@
 bool GateRepeats::isBounding() const
 {
     const auto &settings = m_context.settings;
-    const bool isHere = settings.repeatsHeldBy == RepeatHolder::Gates || (settings.repeatsHeldBy == RepeatHolder::Auto && m_hasStatedPace);
+    const bool isHere =
+        settings.repeatsHeldBy == RepeatHolder::Gates || (settings.repeatsHeldBy == RepeatHolder::Auto && m_context.hasCustomersOrPace());
     return isHere && settings.fleetRetryFraction > 0;
 }
 
-void GateRepeats::onPaceStated()
-{
-    m_hasStatedPace = true;
-}
-
 void GateRepeats::refresh(TimePoint now, const std::string &service)
 {
     std::uint32_t gates = 0;
--- a/src/node/gate/gate_repeats.h
+++ b/src/node/gate/gate_repeats.h
@@ -24,13 +24,10 @@
 public:
     explicit GateRepeats(NodeContext &context);
 
-    /// Returns whether this gate bounds repeats: the settings state a bound, and they or the pace that the backend server states in its
-    /// answers put it at the gates.
+    /// Returns whether this gate bounds repeats: the settings state a bound, and put it at the gates or leave that to
+    /// NodeContext::hasCustomersOrPace().
     bool isBounding() const;
 
-    /// The backend server stated its pace in an answer.
-    void onPaceStated();
-
     /// Updates the share of this gate to the ready gates of @a service that are present.
     void refresh(TimePoint now, const std::string &service);
 
@@ -62,7 +59,6 @@
     RepeatBudget m_budget;
     CallEdges m_callEdges;
     RepeatCounts m_counts;
-    bool m_hasStatedPace = false;
 };
 
 } // namespace chicoryspar
--- a/src/node/gate/gate_signals.cpp
+++ b/src/node/gate/gate_signals.cpp
@@ -18,12 +18,12 @@
         return;
     }
     if (signals.load && signals.load->pacePercent) {
-        m_repeats.onPaceStated();
         if (!m_loadMeter.hasPace(now) && tryTakeDecisionLogToken()) {
             writeLog(LogLevel::Info, "the backend server states its pace; answers report the load of this gate",
                      {{"instance", instance}, {"pacePercent", std::to_string(*signals.load->pacePercent)}});
         }
         m_loadMeter.setPace(now, *signals.load->pacePercent);
+        m_context.hasSeenPace = true;
     }
     if (signals.rateLimit) {
         m_rateLimitStatedAt = now;
@@ -31,10 +31,6 @@
     } else if (m_rateLimit && now - m_rateLimitStatedAt >= kRateLimitHold) {
         setRateLimit(now, std::nullopt, "backend server");
     }
-    if (signals.load && signals.load->pacePercent && !m_hasStatedPace) {
-        m_hasStatedPace = true;
-        m_gate.configure(now, gateOptions());
-    }
     if (signals.isLeaving && !m_hasStatedLeave) {
         m_hasStatedLeave = true;
         writeLog(LogLevel::Info, "the backend server states that it leaves", {{"instance", instance}});
