WorkEstimator: count records in 64 bits

After 2^32 records the counter was zero, and the mean of the service was divided by it: from then on every expectation for an unknown key was infinite. 100 days at 500 answers per second.

--- a/include/chicoryspar/overload.h
+++ b/include/chicoryspar/overload.h
@@ -590,7 +590,7 @@
         std::uint64_t key = 0;
         float meanMicros = 0;
         std::uint32_t samples = 0;
-        std::uint32_t updatedAt = 0;
+        std::uint64_t updatedAt = 0;
     };
     static constexpr std::size_t kSets = 32;
     static constexpr std::size_t kWays = 4;
@@ -598,7 +598,7 @@
     const Entry *find(std::uint64_t key) const;
 
     std::array<Entry, kSets * kWays> m_entries{};
-    std::uint32_t m_recordCount = 0;
+    std::uint64_t m_recordCount = 0;
     float m_meanMicros = 0;
     float m_meanRatio = 1;
 };
--- a/src/overload/work.cpp
+++ b/src/overload/work.cpp
@@ -60,7 +60,7 @@
         m_meanRatio += static_cast<float>((sample / static_cast<float>(before.count()) - m_meanRatio) * kRatioWeight);
     }
     ++m_recordCount;
-    m_meanMicros += (sample - m_meanMicros) / static_cast<float>(std::min(m_recordCount, kMeanSamples));
+    m_meanMicros += (sample - m_meanMicros) / static_cast<float>(std::min<std::uint64_t>(m_recordCount, kMeanSamples));
     const auto first = m_entries.begin() + static_cast<std::ptrdiff_t>((key % kSets) * kWays);
     const auto last = first + kWays;
     auto it = std::find_if(first, last, [key](const Entry &entry) { return entry.samples > 0 && entry.key == key; });
