Dispatcher: tell the router which results are those of repeats

RouteResult::isRepeat was never set outside of a test, so the router didn't learn which gates refuse repeats, and sent a third of them there although other upstreams had tokens. Such a refusal ends the call.

Result: io_repeats: 35 of 100 repeats went to the gate without tokens before, fewer than 15 now.

--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -326,6 +326,7 @@
     result.outcome = answer.outcome;
     result.reason = answer.reason;
     result.answerBytes = static_cast<std::uint32_t>(answer.body.size());
+    result.isRepeat = call.backendAttempts > 0;
     const auto &service = call.routed.request.service;
     recordBackendState(call.node, answer);
     if (answer.backend) {
--- a/tests/io_repeats.cpp
+++ b/tests/io_repeats.cpp
@@ -67,20 +67,28 @@
 protected:
     /// A sender and two upstreams. The @a first attempt of each call ends with that, later ones with @a later.
     void start(const CallAnswer &first, const CallAnswer &later)
+    {
+        start({"b", "c"}, [this, first, later](const std::string &, const CallRequest &) { return marks.size() % 2 == 1 ? first : later; });
+    }
+
+    /// A sender and upstreams with these @a names, which answer with what @a answerOf returns for their name and the request.
+    void start(const std::vector<std::string> &names, std::function<CallAnswer(const std::string &, const CallRequest &)> answerOf)
     {
         settings = {.name = "sender", .region = "r", .zone = "z", .fleetRetryFraction = 0.2, .repeatsHeldBy = holder};
         context = std::make_unique<NodeContext>(io, settings, *sidecarEdgeDialect(), 1, 1);
-        for (const auto *name : {"b", "c"}) {
-            upstreams.push_back(std::make_unique<Upstream>(io, name, [this, first, later](const CallRequest &request) {
+        for (const auto &name : names) {
+            upstreams.push_back(std::make_unique<Upstream>(io, name, [this, name, answerOf](const CallRequest &request) {
                 marks.push_back(request.context.isRepeat);
-                return marks.size() % 2 == 1 ? first : later;
+                return answerOf(name, request);
             }));
         }
         const auto now = steadyNow();
         membership = std::make_unique<Membership>(MembershipOptions{.self = {.name = "sender", .address = "127.0.0.1:1", .boot = 1}}, now,
                                                   context->random);
         MembershipMessage message{.from = upstreams[0]->context.self, .incarnation = 1};
-        message.updates = {upstreams[0]->record(), upstreams[1]->record()};
+        for (const auto &it : upstreams) {
+            message.updates.push_back(it->record());
+        }
         std::vector<OutgoingMessage> out;
         membership->onMessage(now, context->random, "127.0.0.1:2", message, out);
         context->membership = membership.get();
@@ -179,6 +187,24 @@
     EXPECT_EQ(marks.size(), 21U);
 }
 
+// One upstream of four has no tokens left, and a quarter of 400 calls are repeated. Without a preference 35 of these ended there.
+TEST_F(Repeats, RepeatsAvoidGatesThatRefusedThem)
+{
+    int refused = 0;
+    int count = 0;
+    start({"b", "c", "d", "e"}, [&](const std::string &name, const CallRequest &request) {
+        if (!request.context.isRepeat) {
+            return ++count % 4 == 0 ? kLost(5) : kServed(5);
+        }
+        refused += name == "b" ? 1 : 0;
+        return name == "b" ? kSpent : kServed(5);
+    });
+    for (int n = 0; n < 400; ++n) {
+        call();
+    }
+    EXPECT_LT(refused, 15);
+}
+
 TEST_F(Repeats, SenderAsksItsOwnBudgetWhereTheSettingSaysSo)
 {
     holder = RepeatHolder::Senders;
