Dispatcher: retries at gates that report no tokens count against the own budget

Where some backend servers of a service state a pace and others don't, as during an upgrade, the last answer alone decided whose budget a retry needs. Retries that then went to a gate without a budget counted nowhere, so nothing bounded them.

--- a/src/node/entry/dispatcher.cpp
+++ b/src/node/entry/dispatcher.cpp
@@ -10,6 +10,7 @@
 #include "node/peers/peer_set.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include <boost/asio/post.hpp>
 
@@ -72,6 +73,8 @@
     std::uint32_t readyGates = 0;
     /// The last gate that answered bounds the repeats that it dispatches.
     bool gatesBoundRepeats = false;
+    /// Gates whose last answer reported no tokens, so that they may not bound repeats.
+    std::unordered_set<NodeId> unboundGates{};
     /// Expected work of requests, learned where answers report the pace at which they were served.
     WorkEstimator work;
 };
@@ -108,6 +111,8 @@
     bool isCancelled = false;
     /// An earlier attempt ended with an unknown outcome, so the call can't end as not run.
     bool mayHaveRun = false;
+    /// The retry was left to the budget of the gates and didn't count against that of this node.
+    bool isRetryUncounted = false;
 };
 
 Dispatcher::Dispatcher(NodeContext &context)
@@ -189,6 +194,9 @@
     }
     service.router.setCandidates(now, candidates);
     service.retryRatio.configure(retryRatioOptions());
+    if (m_context.membership) {
+        std::erase_if(service.unboundGates, [this](NodeId it) { return m_context.membership->find(it) == nullptr; });
+    }
 }
 
 std::vector<CandidateView> Dispatcher::explainRoutes(TimePoint now, const std::string &service) const
@@ -284,6 +292,14 @@
         refuse(id, decision.refusal, decision.retryAfter);
         return;
     }
+    if (call.isRetryUncounted && service.unboundGates.contains(decision.node)) {
+        if (!takeOwnRetry(now, call)) {
+            // The call ends as its last attempt at a backend server did.
+            finishFailed(id, call, CallAnswer{.outcome = Outcome::NotRun, .reason = call.backendFailure, .node = m_context.settings.name});
+            return;
+        }
+        call.isRetryUncounted = false;
+    }
     router.onSent(now, decision.node, bytes, call.expectedWork);
     sendAttempt(now, id, call, decision.node);
 }
@@ -340,7 +356,7 @@
     auto &target = serviceOf(now, service);
     recordLoad(call.routed, call.expectedWork, answer, target.work, result);
     target.router.onResult(now, call.node, result);
-    recordRepeatTokens(now, service, answer);
+    recordRepeatTokens(now, call, answer);
     if (answer.tokensReturned) {
         call.budget.returnTokens(call.attempt, answer.retryTokensLeft);
     } else {
@@ -348,15 +364,19 @@
     }
 }
 
-void Dispatcher::recordRepeatTokens(TimePoint now, const std::string &name, const CallAnswer &answer)
+void Dispatcher::recordRepeatTokens(TimePoint now, const Call &call, const CallAnswer &answer)
 {
     if (!answer.hasLevels) {
         return;
     }
     const auto tokens = answer.load ? answer.load->repeatTokens : std::nullopt;
+    const auto &name = call.routed.request.service;
     auto &service = serviceOf(now, name);
     service.gatesBoundRepeats = tokens && m_context.settings.repeatsHeldBy != RepeatHolder::Senders;
-    if (tokens) {
+    if (!tokens) {
+        service.unboundGates.insert(call.node);
+    } else {
+        service.unboundGates.erase(call.node);
         m_context.gate->repeats().onTokens(now, name, *tokens, service.readyGates);
     }
 }
@@ -420,8 +440,15 @@
         return false;
     }
     if (hasReachedBackend(answer) && serviceOf(now, call.routed.request.service).gatesBoundRepeats) {
-        return call.routed.maxBackendAttempts > 0 || call.attempt < kMaxAttemptsBeforeBackend;
+        call.isRetryUncounted = call.routed.maxBackendAttempts > 0 || call.attempt < kMaxAttemptsBeforeBackend;
+        return call.isRetryUncounted;
     }
+    call.isRetryUncounted = false;
+    return takeOwnRetry(now, call);
+}
+
+bool Dispatcher::takeOwnRetry(TimePoint now, Call &call)
+{
     return retryRatioOf(now, call).takeRetry(now) && call.budget.takeRetry();
 }
 
--- a/src/node/entry/dispatcher.h
+++ b/src/node/entry/dispatcher.h
@@ -80,10 +80,12 @@
     void sendAttempt(TimePoint now, std::uint64_t id, Call &call, NodeId node);
     void onAnswer(std::uint64_t id, std::uint32_t attempt, CallAnswer answer);
     void recordResult(TimePoint now, Call &call, const CallAnswer &answer);
-    void recordRepeatTokens(TimePoint now, const std::string &name, const CallAnswer &answer);
+    void recordRepeatTokens(TimePoint now, const Call &call, const CallAnswer &answer);
     void recordBackendState(NodeId node, const CallAnswer &answer);
     /// Returns whether the call is to be tried again, and takes the retry from the budgets if it counts against them.
     bool reserveRetry(TimePoint now, Call &call, const CallAnswer &answer);
+    /// Takes the retry from the budgets of this node and of the call.
+    bool takeOwnRetry(TimePoint now, Call &call);
     void scheduleRetry(std::uint64_t id, Call &call, const CallAnswer &answer);
     void finishFailed(std::uint64_t id, const Call &call, CallAnswer answer);
     void finish(std::uint64_t id, CallAnswer answer);
--- a/tests/io_repeats.cpp
+++ b/tests/io_repeats.cpp
@@ -205,6 +205,20 @@
     EXPECT_LT(refused, 15);
 }
 
+// Backend servers of one service that state a pace and others that don't, as during an upgrade: no gate bounds the retries at the latter.
+TEST_F(Repeats, SenderAsksItsOwnBudgetForGatesThatReportNone)
+{
+    std::uint32_t repeatsWithoutTokens = 0;
+    start({"b", "c"}, [&](const std::string &name, const CallRequest &request) {
+        repeatsWithoutTokens += request.context.isRepeat && name == "c" ? 1 : 0;
+        return name == "b" ? kLost(5) : kLost(std::nullopt);
+    });
+    for (int n = 0; n < 40; ++n) {
+        EXPECT_EQ(call().outcome, Outcome::Unknown);
+    }
+    EXPECT_LE(repeatsWithoutTokens, 3U);
+}
+
 TEST_F(Repeats, SenderAsksItsOwnBudgetWhereTheSettingSaysSo)
 {
     holder = RepeatHolder::Senders;
