Gate: one flag for a stated pace, which outlasts a restart of the backend server

The repeat budget kept its own flag for the process, the gate one for the instance, so after each restart of a backend server the return schedule and the objectives were off until the first answer while the repeat budget stayed on.

--- a/src/node/gate/gate_backend.cpp
+++ b/src/node/gate/gate_backend.cpp
@@ -56,7 +56,6 @@
         m_loadMeter.restart();
         m_hasAnswered = false;
         m_hasStatedLeave = false;
-        m_hasStatedPace = false;
         m_rateLimit.reset();
         m_isConfirmed = false;
         m_isHealthCheckRunning = false;
--- a/src/node/gate/gate_policy.cpp
+++ b/src/node/gate/gate_policy.cpp
@@ -32,7 +32,7 @@
 
 bool GateService::usesObjectives() const
 {
-    return m_context.config.requiresCustomers() || m_hasStatedPace;
+    return m_context.config.requiresCustomers() || m_repeats.hasStatedPace();
 }
 
 bool GateService::spacesReturns() const
--- a/src/node/gate/gate_repeats.cpp
+++ b/src/node/gate/gate_repeats.cpp
@@ -30,6 +30,11 @@
     m_hasStatedPace = true;
 }
 
+bool GateRepeats::hasStatedPace() const
+{
+    return m_hasStatedPace;
+}
+
 void GateRepeats::refresh(TimePoint now, const std::string &service)
 {
     std::uint32_t gates = 0;
--- a/src/node/gate/gate_repeats.h
+++ b/src/node/gate/gate_repeats.h
@@ -31,6 +31,10 @@
     /// The backend server stated its pace in an answer.
     void onPaceStated();
 
+    /// Returns whether the backend server has stated its pace. Kept when it restarts, because its new instance states its pace only in
+    /// answers: until the first one, nothing would bound repeats here.
+    bool hasStatedPace() const;
+
     /// Updates the share of this gate to the ready gates of @a service that are present.
     void refresh(TimePoint now, const std::string &service);
 
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -190,8 +190,6 @@
     /// Whether a call of this process was answered by the announced instance.
     bool m_hasAnswered = false;
     bool m_hasStatedLeave = false;
-    /// Whether the announced instance has stated its pace.
-    bool m_hasStatedPace = false;
     /// Since when the announced instance is leaving.
     std::optional<TimePoint> m_leavingSince;
     std::optional<double> m_rateLimit;
--- a/src/node/gate/gate_signals.cpp
+++ b/src/node/gate/gate_signals.cpp
@@ -18,7 +18,6 @@
         return;
     }
     if (signals.load && signals.load->pacePercent) {
-        m_repeats.onPaceStated();
         if (!m_loadMeter.hasPace(now) && tryTakeDecisionLogToken()) {
             writeLog(LogLevel::Info, "the backend server states its pace; answers report the load of this gate",
                      {{"instance", instance}, {"pacePercent", std::to_string(*signals.load->pacePercent)}});
@@ -31,8 +30,8 @@
     } else if (m_rateLimit && now - m_rateLimitStatedAt >= kRateLimitHold) {
         setRateLimit(now, std::nullopt, "backend server");
     }
-    if (signals.load && signals.load->pacePercent && !m_hasStatedPace) {
-        m_hasStatedPace = true;
+    if (signals.load && signals.load->pacePercent && !m_repeats.hasStatedPace()) {
+        m_repeats.onPaceStated();
         m_gate.configure(now, gateOptions());
     }
     if (signals.isLeaving && !m_hasStatedLeave) {
--- a/tests/io_backend_signals.cpp
+++ b/tests/io_backend_signals.cpp
@@ -212,6 +212,24 @@
     EXPECT_FALSE(answers.back().load);
 }
 
+// A new instance states its pace only in answers, so the rules that depend on it must not end with the old one.
+TEST_F(BackendSignals, RulesForAPaceOutlastARestartOfTheBackendServer)
+{
+    EXPECT_FALSE(gate->spacesReturns());
+    backend.signals = "X-Server-Load: 3,0,8,100\r\n";
+    offer(20, 100ms);
+    EXPECT_TRUE(gate->spacesReturns());
+    gate->applyAnnouncement(steadyNow(),
+                            {.service = "orders",
+                             .address = backend.address(),
+                             .slots = 36,
+                             .readiness = BackendReadiness::Ready,
+                             .instance = "j",
+                             .processStartMs = 200,
+                             .sequence = ++sequence});
+    EXPECT_TRUE(gate->spacesReturns());
+}
+
 TEST_F(BackendSignals, LimitEndsWhenAnswersNoLongerStateIt)
 {
     backend.signals = "Server-Limit: 10\r\n";
