--- a/src/customer/customer_node.cpp
+++ b/src/customer/customer_node.cpp
@@ -449,18 +449,20 @@
         return;
     }
     record.isAsking = false;
-    const auto count = std::min<std::size_t>(grant.granted, record.waiting.size());
+    const auto granted = std::min(grant.granted, record.wanted);
+    const auto denyFor = std::clamp(grant.denyFor, Duration{0}, kMaxRetryAfter);
+    const auto count = std::min<std::size_t>(granted, record.waiting.size());
     resolve(record, count, {}, resolved);
-    record.spare = grant.granted - static_cast<std::uint32_t>(count);
+    record.spare = granted - static_cast<std::uint32_t>(count);
     record.spareUntil = now + kSpareTime;
-    const bool isDenied = grant.granted < record.wanted;
+    const bool isDenied = granted < record.wanted;
     record.wanted = 0;
     record.waitsForTokens = false;
     if (!isDenied) {
         return;
     }
-    record.denyUntil = now + grant.denyFor;
-    record.waitsForTokens = grant.usePercent <= kPercent && grant.denyFor < kCustomerHold;
+    record.denyUntil = now + denyFor;
+    record.waitsForTokens = grant.usePercent <= kPercent && denyFor < kCustomerHold;
     if (!record.waitsForTokens) {
         refuseWaiting(now, record, record.waiting.size(), resolved);
     } else if (!record.waiting.empty()) {
--- a/tests/test_customer_limits.cpp
+++ b/tests/test_customer_limits.cpp
@@ -278,6 +278,40 @@
     EXPECT_EQ(resolved.size(), 1U);
 }
 
+// Guards against a grant with figures out of range, which would admit any number of requests or refuse all until the owner changes.
+TEST(CustomerLimits, GrantsOutOfRangeAreClamped)
+{
+    CustomerMembers members(makeNodeId("b"), TimePoint());
+    CustomerNode node(members, 2);
+    CustomerLimit limit{0, 10, 100};
+    while (rendezvousWeight(makeNodeId("a"), limit.customer) < rendezvousWeight(makeNodeId("b"), limit.customer)) {
+        ++limit.customer;
+    }
+    auto now = TimePoint() + 1min;
+    members.setMembers(now, {{.node = makeNodeId("a"), .isPresent = true}});
+    Random random(1);
+    std::vector<OutgoingCustomerMessage> out;
+    std::vector<ResolvedRequest> resolved;
+    const auto answer = [&](std::uint32_t granted, Duration denyFor) {
+        const CustomerGrant grant{.customer = limit.customer,
+                                  .request = out.back().message.reports.back().request,
+                                  .granted = granted,
+                                  .isLow = true,
+                                  .denyFor = denyFor,
+                                  .usePercent = 400};
+        node.onMessage(now, {.from = makeNodeId("a"), .boot = 1, .sequence = out.size(), .grants = {grant}}, out, resolved);
+    };
+    EXPECT_EQ(node.admit(now, random, limit, 1, out).verdict, RateLimitVerdict::Waiting);
+    answer(1'000'000, Duration{0});
+    ASSERT_EQ(resolved.size(), 1U);
+    EXPECT_EQ(node.admit(now, random, limit, 2, out).verdict, RateLimitVerdict::Waiting);
+    answer(0, Duration::max());
+    ASSERT_EQ(resolved.size(), 2U);
+    EXPECT_EQ(resolved.back().decision.verdict, RateLimitVerdict::Refused);
+    now += 4s;
+    EXPECT_EQ(node.admit(now, random, limit, 3, out).verdict, RateLimitVerdict::Waiting);
+}
+
 // Generated histories: the bound holds in every window, whatever is lost, killed or cut off.
 void checkHistory(std::uint64_t seed, bool isCountExpected)
 {
