--- a/src/node/control/where_view_json.cpp
+++ b/src/node/control/where_view_json.cpp
@@ -66,6 +66,8 @@
 Json describeBackend(NodeContext &context, TimePoint now, const RouteSpec &route, const RouteBackend &backend, const CallContext &call)
 {
     const auto rank = makeRank(call);
+    // First, because it creates the router of a service that this node hasn't called yet.
+    const auto choice = context.dispatcher->previewRoute(now, backend.service, rank);
     const auto entryLevel = context.dispatcher->entryLevel(now, methodKeyOf(backend.service, route.name));
     auto candidates = Json::array();
     for (const auto &it : context.dispatcher->explainRoutes(now, backend.service)) {
@@ -76,7 +78,7 @@
             {"entryLevel", entryLevel.value},
             {"entryAdmits", entryLevel.admits(rank)},
             {"candidates", candidates},
-            {"choice", describeChoice(context, context.dispatcher->previewRoute(now, backend.service, rank))}};
+            {"choice", describeChoice(context, choice)}};
 }
 
 Json describeRoute(const RouteSpec &route)
