--- a/tests/io_repeats.cpp
+++ b/tests/io_repeats.cpp
@@ -72,7 +72,7 @@
     }
 
     /// A sender and upstreams with these @a names, which answer with what @a answerOf returns for their name and the request.
-    void start(const std::vector<std::string> &names, std::function<CallAnswer(const std::string &, const CallRequest &)> answerOf)
+    void start(const std::vector<std::string> &names, const std::function<CallAnswer(const std::string &, const CallRequest &)> &answerOf)
     {
         settings = {.name = "sender", .region = "r", .zone = "z", .fleetRetryFraction = 0.2, .repeatsHeldBy = holder};
         context = std::make_unique<NodeContext>(io, settings, *sidecarEdgeDialect(), 1, 1);
