Review: case 7 lets the restarted node hear of its upstream first

Change: the process is killed just before a report is due, and clients whose connection was refused wait a second before the next one.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -128,6 +128,9 @@
                 result = str(answer.status) if answer else "closed"
             except (OSError, ConnectionError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
                 answer, result = None, type(error).__name__
+                if writer is None:
+                    # Clients allow a new connection one second.
+                    at = time.monotonic() + 1
             if answer is None and writer:
                 writer.close()
                 writer = None
@@ -159,6 +162,11 @@
     await asyncio.sleep(6)
     lonely = mesh.nodes[0]
     if trouble:
+        # The upstream beside it reports again while the process is down, so that the new process hears of it at once.
+        sequence = mesh.upstreams[0].sequence
+        while mesh.upstreams[0].sequence == sequence:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.8)
         mesh.cut = {lonely.name}
         mesh.record(f"{lonely.name} is cut off from the other machines")
         await asyncio.sleep(0.3)
