Config: no limit of ours refuses a route table, and no part holds back the rest

The version before stayed in force on every node: 70 of 70 requests on a dropped route and with a removed key still ran, 70 of 70 with a new key got 401.

Cause: kMaxCustomerKeys, a limit that the platform doesn't have, and a finding on any part that refused the object. Numbers of routes, services, customers and services of a route, lengths of names, and ranges of numbers had the same form; short keys grew beyond the largest object as digests; fields that the translation couldn't read became 0.

Change: numbers of parts are bounded by the size of the object, numbers beyond the node's range are clamped, weights may be fractions. A part that can't be used is left out by itself and named in status, metrics and the log; what the node doesn't know because of it gets 503, not 401 or 404.

--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -147,7 +147,7 @@
 {
     std::string service;
     /// Relative to the sum of the weights of the route; 0 for no requests.
-    std::uint32_t weight = 1;
+    double weight = 1;
 
     bool operator==(const RouteBackend &) const = default;
 };
@@ -175,6 +175,9 @@
     std::uint32_t maxAttempts = 1;
     /// Requests need no key of a customer.
     bool isPublic = false;
+    /// False if only host and path prefix could be read. Requests that match are refused for now: neither another route with a shorter
+    /// prefix nor a final refusal would be right.
+    bool isUsable = true;
 
     /// Returns the request class that decides when the route's requests are refused in an overload.
     RequestClass requestClass() const;
@@ -220,6 +223,10 @@
     TrafficLimits limits;
     /// Customers whose keys are accepted; nothing if requests need no key.
     std::optional<std::vector<CustomerSpec>> customers;
+    /// A route was left out because its host or path prefix couldn't be read.
+    bool hasUnreadRoutes = false;
+    /// A customer or a key was left out because it couldn't be read or is ambiguous.
+    bool hasUnreadKeys = false;
 };
 
 using ObjectSpec =
@@ -275,6 +282,8 @@
     bool deleted = false;
     ChangeNote change;
     ObjectSpec spec;
+    /// Parts of the spec that can't be read or used. They aren't in force; the rest is.
+    std::vector<Finding> unusedParts;
     /// The whole object as JSON, without its status but with unknown fields.
     std::string text;
 
@@ -296,6 +305,8 @@
     std::shared_ptr<const ConfigObject> object;
     /// Errors because of which the object is refused.
     std::vector<Finding> findings;
+    /// As ConfigObject::unusedParts; an author's client refuses to write an object with any.
+    std::vector<Finding> unusedParts;
     /// Keys that this version of the software doesn't support.
     std::vector<Finding> unknownKeys;
 };
@@ -315,8 +326,8 @@
 /// Formats @a wall as RFC 3339 text in UTC, with a resolution of one second.
 std::string formatTimestamp(WallTime wall);
 
-/// Holds the largest object that the store accepts (1 MiB), whose customers grow to up to three times their size in the product's form.
-constexpr std::size_t kMaxObjectBytes = 4 * 1024 * 1024;
+/// Holds the largest object that the store accepts (1 MiB): a list of its shortest distinct keys grows sixfold as digests.
+constexpr std::size_t kMaxObjectBytes = 8 * 1024 * 1024;
 constexpr std::size_t kMaxObjects = 4096;
 
 /// Key of an object in a ConfigSet.
@@ -509,6 +520,12 @@
     bool hasRoutes() const;
     /// Returns the route of @a host with the longest matching prefix of @a path, or a null pointer.
     const RouteSpec *findRoute(std::string_view host, std::string_view path) const;
+    /// Returns whether every route in force could be read, so that a request without a route can be refused for good.
+    bool knowsAllRoutes() const;
+    /// Returns whether every key in force could be read, so that an unknown key can be refused for good.
+    bool knowsAllKeys() const;
+    /// Returns the unused parts of all objects in force.
+    std::vector<Finding> unusedParts() const;
     const RoutedServiceSpec *findRoutedService(std::string_view service) const;
     /// Returns the shortest latency objective of all routes to @a service, or nothing if there is no such route.
     std::optional<Duration> shortestLatencyObjective(std::string_view service) const;
@@ -587,7 +604,7 @@
     struct Credits
     {
         std::vector<RouteBackend> backends;
-        std::vector<std::int64_t> credits;
+        std::vector<double> credits;
     };
     std::unordered_map<std::string, Credits> m_routes;
 };
--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -3,15 +3,18 @@
 
 #include "config/fields.h"
 
-#include <cmath>
+#include <algorithm>
 
 namespace chicoryspar {
 
 std::optional<std::uint64_t> readNumber(const Json &json, const std::string &path, std::uint64_t min, std::uint64_t max,
-                                        ObjectFindings &findings)
+                                        ObjectFindings &findings, RangePolicy rangePolicy)
 {
     if (json.is_number_unsigned()) {
-        const auto number = json.get<std::uint64_t>();
+        auto number = json.get<std::uint64_t>();
+        if (rangePolicy == RangePolicy::Clamp) {
+            number = std::clamp(number, min, max);
+        }
         if (number >= min && number <= max) {
             return number;
         }
@@ -24,11 +27,11 @@
 {
     if (json.is_number()) {
         const auto number = json.get<double>();
-        if (number >= 0 && number <= max) {
-            return number;
+        if (number >= 0) {
+            return std::min(number, max);
         }
     }
-    findings.addFault(path, "must be a number from 0 to " + std::to_string(std::llround(max)));
+    findings.addFault(path, "must be a number, 0 or more");
     return std::nullopt;
 }
 
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -11,16 +11,33 @@
 
 using Json = nlohmann::json;
 
-/// Findings of one object, by severity: faults refuse the object, unknown keys don't.
+/// Findings of one object, by severity: faults refuse the object; an unused part is left out and the rest is in force; unknown keys have no
+/// effect.
 struct ObjectFindings
 {
     std::vector<Finding> faults;
+    std::vector<Finding> unusedParts;
     std::vector<Finding> unknownKeys;
 
     void addFault(std::string path, std::string text)
     {
         faults.push_back({std::move(path), std::move(text)});
     }
+    /// Adds the findings of a part of the object. Its faults concern this part only.
+    void addPart(ObjectFindings part)
+    {
+        std::move(part.faults.begin(), part.faults.end(), std::back_inserter(unusedParts));
+        std::move(part.unusedParts.begin(), part.unusedParts.end(), std::back_inserter(unusedParts));
+        std::move(part.unknownKeys.begin(), part.unknownKeys.end(), std::back_inserter(unknownKeys));
+    }
+};
+
+/// What becomes of a number beyond the range of its field.
+enum class RangePolicy : std::uint8_t {
+    /// It is a fault.
+    Refuse,
+    /// The nearest number in the range applies. For objects whose authors know no such limit.
+    Clamp,
 };
 
 /// Maps a key of a JSON object to a member of the struct @a Spec.
@@ -37,15 +54,16 @@
     /// Inclusive range of a number; in milliseconds for a duration.
     std::uint64_t min = 0;
     std::uint64_t max = 0;
+    RangePolicy rangePolicy = RangePolicy::Refuse;
 };
 
 /// Reads an integer in [min, max].
 /// @param path path of the value within the object, for findings
 /// @returns the number, or nothing after adding a finding; so do the other readers
 std::optional<std::uint64_t> readNumber(const Json &json, const std::string &path, std::uint64_t min, std::uint64_t max,
-                                        ObjectFindings &findings);
+                                        ObjectFindings &findings, RangePolicy rangePolicy = RangePolicy::Refuse);
 
-/// Reads a number, whole or not, in [0, max].
+/// Reads a number from 0, whole or not; one above @a max is clamped to it.
 std::optional<double> readDecimal(const Json &json, const std::string &path, double max, ObjectFindings &findings);
 
 /// Reads a string.
@@ -69,7 +87,7 @@
             spec.*member = readBool(json, path, findings).value_or(spec.*member);
         } else if constexpr (std::is_same_v<Member, std::string Spec::*>) {
             spec.*member = readString(json, path, findings).value_or(spec.*member);
-        } else if (const auto number = readNumber(json, path, field.min, field.max, findings)) {
+        } else if (const auto number = readNumber(json, path, field.min, field.max, findings, field.rangePolicy)) {
             if constexpr (std::is_same_v<Member, Duration Spec::*>) {
                 spec.*member = std::chrono::milliseconds(*number);
             } else if constexpr (std::is_same_v<Member, std::uint32_t Spec::*>) {
--- a/src/config/lookup.cpp
+++ b/src/config/lookup.cpp
@@ -170,6 +170,25 @@
     return it == routes->second.end() ? nullptr : *it;
 }
 
+bool ConfigSet::knowsAllRoutes() const
+{
+    return m_routeTable && !m_routeTable->hasUnreadRoutes;
+}
+
+bool ConfigSet::knowsAllKeys() const
+{
+    return m_routeTable && !m_routeTable->hasUnreadKeys;
+}
+
+std::vector<Finding> ConfigSet::unusedParts() const
+{
+    std::vector<Finding> parts;
+    for (const auto &[key, entry] : m_objects) {
+        parts.insert(parts.end(), entry.object->unusedParts.begin(), entry.object->unusedParts.end());
+    }
+    return parts;
+}
+
 const RoutedServiceSpec *ConfigSet::findRoutedService(std::string_view service) const
 {
     if (!m_routeTable) {
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -133,6 +133,7 @@
         .contentHash = hashContent(json),
         .change = readChangeNote(metadata),
         .spec = std::move(spec),
+        .unusedParts = parsed.unusedParts,
         .text = json.dump(-1, ' ', false, Json::error_handler_t::replace),
     });
 }
@@ -157,7 +158,7 @@
 {
     ParsedObject parsed;
     if (json.size() > kMaxObjectBytes || exceedsNestingDepth(json)) {
-        parsed.findings.push_back({"object", "must be at most 4 MiB of JSON, nested at most 32 levels deep"});
+        parsed.findings.push_back({"object", "must be at most 8 MiB of JSON, nested at most 32 levels deep"});
         return parsed;
     }
     auto value = Json::parse(json, nullptr, false);
@@ -182,6 +183,7 @@
         spec = readSpec(parsed.kind, it == value.end() ? s_empty : *it, findings);
     }
     parsed.findings = prefixFindings(parsed, std::move(findings.faults));
+    parsed.unusedParts = prefixFindings(parsed, std::move(findings.unusedParts));
     parsed.unknownKeys = prefixFindings(parsed, std::move(findings.unknownKeys));
     if (parsed.findings.empty()) {
         parsed.object = makeObject(std::move(value), parsed, std::move(spec));
--- a/src/config/route_weights.cpp
+++ b/src/config/route_weights.cpp
@@ -15,9 +15,9 @@
     }
     auto &state = m_routes[route.name];
     if (state.backends != route.backends) {
-        state = {route.backends, std::vector<std::int64_t>(route.backends.size(), 0)};
+        state = {route.backends, std::vector<double>(route.backends.size(), 0)};
     }
-    std::int64_t total = 0;
+    double total = 0;
     for (std::size_t n = 0; n < route.backends.size(); ++n) {
         state.credits[n] += route.backends[n].weight;
         total += route.backends[n].weight;
--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <set>
 #include <unordered_set>
 
@@ -21,14 +22,11 @@
 constexpr std::uint64_t kMaxNotRunStatus = 599;
 constexpr std::size_t kMaxMethods = 256;
 constexpr std::uint64_t kMaxUpstreams = 65535;
-constexpr std::size_t kMaxRoutes = 16384;
-constexpr std::size_t kMaxRouteBackends = 64;
-constexpr std::uint64_t kMaxWeight = 1'000'000;
-constexpr std::uint64_t kMaxPriority = 1000;
-constexpr std::uint64_t kMaxAttempts = 16;
-constexpr std::size_t kMaxCustomers = 65536;
-constexpr std::size_t kMaxCustomerNameLength = 253;
-constexpr std::size_t kMaxCustomerKeys = 256;
+constexpr double kMaxWeight = 1e9;
+constexpr std::uint64_t kMaxPriority = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t kMaxAttempts = std::numeric_limits<std::uint32_t>::max();
+/// Longest time of a route or limit; keeps sums of points in time in range.
+constexpr std::uint64_t kMaxRouteTimeMs = 365ULL * 24 * 3'600'000;
 constexpr std::size_t kKeyDigestLength = 32;
 constexpr double kMaxRequestsPerSecond = 1e9;
 constexpr std::uint64_t kMaxTrafficLimitBytes = 1ULL << 40;
@@ -121,30 +119,48 @@
     {"address", &ContactSpec::address},
 }};
 
-/// Reads a list of structs with a common field table.
-template<typename Item, std::size_t kSize>
-std::vector<Item> readItems(const Json &json, const std::string &path, const std::array<Field<Item>, kSize> &fields, std::size_t maxItems,
-                            ObjectFindings &findings)
+/// Reads an item of a list. Its faults are added to the unused parts.
+/// @param check finds what the field table can't, unless the fields have faults
+/// @param isUsable receives whether the item has no fault
+template<typename Item, std::size_t kSize, typename Check>
+Item readItem(const Json &json, const std::string &path, const std::array<Field<Item>, kSize> &fields, Check check, bool &isUsable,
+              ObjectFindings &findings)
 {
-    std::vector<Item> items;
-    if (!json.is_array() || json.size() > maxItems) {
-        findings.addFault(path, "must be a list of at most " + std::to_string(maxItems) + " objects");
-        return items;
+    ObjectFindings own;
+    auto item = readFields(json, path, fields, own);
+    if (own.faults.empty()) {
+        check(item, path, own);
     }
-    for (std::size_t n = 0; n < json.size(); ++n) {
-        items.push_back(readFields(json[n], path + "[" + std::to_string(n) + "]", fields, findings));
-    }
-    return items;
+    isUsable = own.faults.empty();
+    findings.addPart(std::move(own));
+    return item;
+}
+
+std::string itemPath(const std::string &path, std::size_t n)
+{
+    return path + "[" + std::to_string(n) + "]";
+}
+
+void readWeight(const Json &json, const std::string &path, RouteBackend &backend, ObjectFindings &findings)
+{
+    backend.weight = readDecimal(json, path, kMaxWeight, findings).value_or(backend.weight);
 }
 
 constexpr std::array<Field<RouteBackend>, 2> kRouteBackendFields{{
     {"service", &RouteBackend::service},
-    {"weight", &RouteBackend::weight, 0, kMaxWeight},
+    {"weight", &readWeight},
 }};
 
+/// Reads the services of a route. One that can't be read makes the route unusable: the others would get its share.
 void readRouteBackends(const Json &json, const std::string &path, RouteSpec &spec, ObjectFindings &findings)
 {
-    spec.backends = readItems(json, path, kRouteBackendFields, kMaxRouteBackends, findings);
+    if (!json.is_array()) {
+        findings.addFault(path, "must be a list of services");
+        return;
+    }
+    for (std::size_t n = 0; n < json.size(); ++n) {
+        spec.backends.push_back(readFields(json[n], itemPath(path, n), kRouteBackendFields, findings));
+    }
 }
 
 constexpr std::array<Field<RouteSpec>, 10> kRouteFields{{
@@ -153,34 +169,52 @@
     {"pathPrefix", &RouteSpec::pathPrefix},
     {"backends", &readRouteBackends},
     {"idempotent", &RouteSpec::idempotent},
-    {"timeoutMs", &RouteSpec::timeout, 1, kMaxDurationMs},
-    {"latencyObjectiveMs", &RouteSpec::latencyObjective, 1, kMaxDurationMs},
-    {"priority", &RouteSpec::priority, 0, kMaxPriority},
-    {"maxAttempts", &RouteSpec::maxAttempts, 1, kMaxAttempts},
+    {"timeoutMs", &RouteSpec::timeout, 1, kMaxRouteTimeMs, RangePolicy::Clamp},
+    {"latencyObjectiveMs", &RouteSpec::latencyObjective, 1, kMaxRouteTimeMs, RangePolicy::Clamp},
+    {"priority", &RouteSpec::priority, 0, kMaxPriority, RangePolicy::Clamp},
+    {"maxAttempts", &RouteSpec::maxAttempts, 1, kMaxAttempts, RangePolicy::Clamp},
     {"public", &RouteSpec::isPublic},
 }};
 
 constexpr std::array<Field<RoutedServiceSpec>, 3> kRoutedServiceFields{{
     {"name", &RoutedServiceSpec::name},
     {"healthPath", &RoutedServiceSpec::healthPath},
-    {"maxConnections", &RoutedServiceSpec::maxConnections, 1, kMaxConcurrencyLimit},
+    {"maxConnections", &RoutedServiceSpec::maxConnections, 1, kMaxConcurrencyLimit, RangePolicy::Clamp},
 }};
 
 constexpr std::array<Field<TrafficLimits>, 4> kTrafficLimitFields{{
-    {"maxHeaderBytes", &TrafficLimits::maxHeaderBytes, 1, kMaxTrafficLimitBytes},
-    {"maxBodyBytes", &TrafficLimits::maxBodyBytes, 1, kMaxTrafficLimitBytes},
-    {"headerTimeoutMs", &TrafficLimits::headerTimeout, 1, kMaxDurationMs},
-    {"idleTimeoutMs", &TrafficLimits::idleTimeout, 1, kMaxDurationMs},
+    {"maxHeaderBytes", &TrafficLimits::maxHeaderBytes, 1, kMaxTrafficLimitBytes, RangePolicy::Clamp},
+    {"maxBodyBytes", &TrafficLimits::maxBodyBytes, 1, kMaxTrafficLimitBytes, RangePolicy::Clamp},
+    {"headerTimeoutMs", &TrafficLimits::headerTimeout, 1, kMaxRouteTimeMs, RangePolicy::Clamp},
+    {"idleTimeoutMs", &TrafficLimits::idleTimeout, 1, kMaxRouteTimeMs, RangePolicy::Clamp},
 }};
 
+bool isKeyDigest(const Json &json)
+{
+    const auto *digest = json.get_ptr<const std::string *>();
+    return digest && digest->size() == kKeyDigestLength && digest->find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+/// Reads the digests of a customer's keys. One that can't be read is left out by itself.
 void readKeyDigests(const Json &json, const std::string &path, CustomerSpec &spec, ObjectFindings &findings)
 {
-    spec.keyDigests = readStrings(json, path, findings);
+    if (!json.is_array()) {
+        findings.addFault(path, "must be a list of digests");
+        return;
+    }
+    for (std::size_t n = 0; n < json.size(); ++n) {
+        if (isKeyDigest(json[n])) {
+            spec.keyDigests.push_back(json[n].get<std::string>());
+        } else {
+            // Doesn't quote the text: it may be a key that was stated in place of its digest.
+            findings.unusedParts.push_back({itemPath(path, n), "must be 32 lower-case hexadecimal digits"});
+        }
+    }
 }
 
 void readCustomerPriority(const Json &json, const std::string &path, CustomerSpec &spec, ObjectFindings &findings)
 {
-    if (const auto priority = readNumber(json, path, 0, kMaxPriority, findings)) {
+    if (const auto priority = readNumber(json, path, 0, kMaxPriority, findings, RangePolicy::Clamp)) {
         spec.priority = static_cast<std::uint32_t>(*priority);
     }
 }
@@ -199,29 +233,127 @@
     {"burst", &readCustomerRate<&CustomerSpec::burst>},
 }};
 
+/// Returns whether @a name can be the value of an HTTP header field.
+bool isCustomerName(const std::string &name)
+{
+    const auto isControl = [](unsigned char c) { return c < 0x20 || c == 0x7F; };
+    const bool hasBlankEnd = name.starts_with(' ') || name.ends_with(' ');
+    return !name.empty() && !hasBlankEnd && std::none_of(name.begin(), name.end(), isControl);
+}
+
+/// Removes digests that several customers have: they leave open whose request it is.
+void removeSharedDigests(std::vector<CustomerSpec> &customers, const std::string &path, ObjectFindings &findings)
+{
+    std::unordered_map<std::string, std::size_t> owners;
+    std::unordered_set<std::string> shared;
+    for (std::size_t n = 0; n < customers.size(); ++n) {
+        for (const auto &it : customers[n].keyDigests) {
+            if (owners.emplace(it, n).first->second != n && shared.insert(it).second) {
+                findings.unusedParts.push_back({path, "a key of '" + customers[n].name + "' belongs to an earlier customer as well"});
+            }
+        }
+    }
+    if (!shared.empty()) {
+        for (auto &it : customers) {
+            std::erase_if(it.keyDigests, [&shared](const auto &digest) { return shared.contains(digest); });
+        }
+    }
+}
+
 void readCustomers(const Json &json, const std::string &path, RouteTableSpec &spec, ObjectFindings &findings)
 {
-    spec.customers = readItems(json, path, kCustomerFields, kMaxCustomers, findings);
-    for (auto &it : *spec.customers) {
-        if (it.requestsPerSecond > 0) {
-            it.burst = std::max(it.burst > 0 ? it.burst : it.requestsPerSecond, 1.0);
+    // Keys are required from here on, even if none can be read.
+    auto &customers = spec.customers.emplace();
+    const auto unusedBefore = findings.unusedParts.size();
+    if (!json.is_array()) {
+        findings.unusedParts.push_back({path, "must be a list of customers"});
+    }
+    std::unordered_set<std::string> names;
+    const auto check = [&names](const CustomerSpec &customer, const std::string &place, ObjectFindings &own) {
+        if (!isCustomerName(customer.name)) {
+            own.addFault(place + ".name", "must not be empty, hold control characters, or begin or end with a space");
+        } else if (!names.insert(customer.name).second) {
+            own.addFault(place + ".name", "is used by an earlier customer already");
+        }
+    };
+    for (std::size_t n = 0; json.is_array() && n < json.size(); ++n) {
+        bool isUsable = false;
+        auto customer = readItem(json[n], itemPath(path, n), kCustomerFields, check, isUsable, findings);
+        if (!isUsable) {
+            continue;
+        }
+        if (customer.requestsPerSecond > 0) {
+            customer.burst = std::max(customer.burst > 0 ? customer.burst : customer.requestsPerSecond, 1.0);
         }
+        customers.push_back(std::move(customer));
+    }
+    removeSharedDigests(customers, path, findings);
+    spec.hasUnreadKeys = findings.unusedParts.size() > unusedBefore;
+}
+
+bool isPathPrefix(const std::string &prefix)
+{
+    return prefix.starts_with('/') && prefix.ends_with('/');
+}
+
+void checkRoute(const RouteSpec &route, const std::string &path, ObjectFindings &findings)
+{
+    if (route.host.empty()) {
+        findings.addFault(path + ".host", "must not be empty");
+    }
+    if (!isPathPrefix(route.pathPrefix)) {
+        findings.addFault(path + ".pathPrefix", "must begin and end with /");
+    }
+    const auto receivesRequests = [](const RouteBackend &it) { return !it.service.empty() && it.weight > 0; };
+    if (std::none_of(route.backends.begin(), route.backends.end(), receivesRequests)) {
+        findings.addFault(path + ".backends", "must name at least one service with a weight above 0");
+    }
+    if (std::any_of(route.backends.begin(), route.backends.end(), [](const RouteBackend &it) { return it.service.empty(); })) {
+        findings.addFault(path + ".backends", "must name a service in each item");
     }
 }
 
 void readRoutes(const Json &json, const std::string &path, RouteTableSpec &spec, ObjectFindings &findings)
 {
-    spec.routes = readItems(json, path, kRouteFields, kMaxRoutes, findings);
+    if (!json.is_array()) {
+        findings.unusedParts.push_back({path, "must be a list of routes"});
+        spec.hasUnreadRoutes = true;
+        return;
+    }
+    for (std::size_t n = 0; n < json.size(); ++n) {
+        bool isUsable = false;
+        auto route = readItem(json[n], itemPath(path, n), kRouteFields, &checkRoute, isUsable, findings);
+        route.isUsable = isUsable;
+        if (!isUsable && (route.host.empty() || !isPathPrefix(route.pathPrefix))) {
+            spec.hasUnreadRoutes = true;
+        } else {
+            spec.routes.push_back(std::move(route));
+        }
+    }
 }
 
 void readRoutedServices(const Json &json, const std::string &path, RouteTableSpec &spec, ObjectFindings &findings)
 {
-    spec.services = readItems(json, path, kRoutedServiceFields, kMaxRoutes, findings);
+    if (!json.is_array()) {
+        findings.unusedParts.push_back({path, "must be a list of services"});
+        return;
+    }
+    for (std::size_t n = 0; n < json.size(); ++n) {
+        bool isUsable = false;
+        auto service = readItem(
+            json[n], itemPath(path, n), kRoutedServiceFields, [](const auto &, const auto &, auto &) {}, isUsable, findings);
+        if (isUsable) {
+            spec.services.push_back(std::move(service));
+        }
+    }
 }
 
+/// Reads the limits. One that can't be read keeps its default.
 void readTrafficLimits(const Json &json, const std::string &path, RouteTableSpec &spec, ObjectFindings &findings)
 {
-    spec.limits = readFields(json, path, kTrafficLimitFields, findings);
+    ObjectFindings own;
+    spec.limits = readFields(json, path, kTrafficLimitFields, own);
+    findings.addPart(std::move(own));
 }
 
 constexpr std::array<Field<RouteTableSpec>, 4> kRouteTableFields{{
@@ -346,64 +478,8 @@
     }
 }
 
-/// Returns whether @a name can be the value of an HTTP header field.
-bool isCustomerName(const std::string &name)
+void checkSpec(const RouteTableSpec &, ObjectFindings &)
 {
-    const auto isControl = [](unsigned char c) { return c < 0x20 || c == 0x7F; };
-    const bool hasBlankEnd = name.starts_with(' ') || name.ends_with(' ');
-    return !name.empty() && name.size() <= kMaxCustomerNameLength && !hasBlankEnd && std::none_of(name.begin(), name.end(), isControl);
-}
-
-bool isKeyDigest(const std::string &digest)
-{
-    return digest.size() == kKeyDigestLength && digest.find_first_not_of("0123456789abcdef") == std::string::npos;
-}
-
-/// Checks the names and digests of customers. A digest or a name that two customers have would leave open whose request it is.
-void checkCustomers(const std::vector<CustomerSpec> &customers, ObjectFindings &findings)
-{
-    std::unordered_set<std::string_view> names;
-    std::unordered_map<std::string_view, std::size_t> owners;
-    for (std::size_t n = 0; n < customers.size(); ++n) {
-        const auto &customer = customers[n];
-        const auto path = "spec.customers[" + std::to_string(n) + "]";
-        if (!isCustomerName(customer.name)) {
-            findings.addFault(path + ".name", "must be 1 to 253 bytes without control characters, and not begin or end with a space");
-        } else if (!names.insert(customer.name).second) {
-            findings.addFault(path + ".name", "is used by an earlier customer already");
-        }
-        if (customer.keyDigests.size() > kMaxCustomerKeys) {
-            findings.addFault(path + ".keyDigests", "must hold at most " + std::to_string(kMaxCustomerKeys) + " digests");
-        }
-        for (std::size_t k = 0; k < customer.keyDigests.size(); ++k) {
-            const auto digestPath = path + ".keyDigests[" + std::to_string(k) + "]";
-            // The findings don't quote the text: it may be a key that was stated in place of its digest.
-            if (!isKeyDigest(customer.keyDigests[k])) {
-                findings.addFault(digestPath, "must be 32 lower-case hexadecimal digits");
-            } else if (owners.emplace(customer.keyDigests[k], n).first->second != n) {
-                findings.addFault(digestPath, "belongs to an earlier customer already");
-            }
-        }
-    }
-}
-
-void checkSpec(const RouteTableSpec &spec, ObjectFindings &findings)
-{
-    checkCustomers(spec.customers ? *spec.customers : std::vector<CustomerSpec>(), findings);
-    for (std::size_t n = 0; n < spec.routes.size(); ++n) {
-        const auto &route = spec.routes[n];
-        const auto path = "spec.routes[" + std::to_string(n) + "]";
-        if (route.host.empty()) {
-            findings.addFault(path + ".host", "must not be empty");
-        }
-        if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/')) {
-            findings.addFault(path + ".pathPrefix", "must begin and end with /");
-        }
-        const auto receivesRequests = [](const RouteBackend &it) { return !it.service.empty() && it.weight > 0; };
-        if (std::none_of(route.backends.begin(), route.backends.end(), receivesRequests)) {
-            findings.addFault(path + ".backends", "must name at least one service with a weight above 0");
-        }
-    }
 }
 
 using SpecReader = ObjectSpec (*)(const Json &json, ObjectFindings &findings);
--- a/src/ctl/change_commands.cpp
+++ b/src/ctl/change_commands.cpp
@@ -143,6 +143,7 @@
     for (const auto &it : changes) {
         const auto parsed = parseObject(it.wanted.dump());
         findings.insert(findings.end(), parsed.findings.begin(), parsed.findings.end());
+        findings.insert(findings.end(), parsed.unusedParts.begin(), parsed.unusedParts.end());
         if (!context.options.allowsUnknownKeys) {
             findings.insert(findings.end(), parsed.unknownKeys.begin(), parsed.unknownKeys.end());
         }
--- a/src/ctl/read_commands.cpp
+++ b/src/ctl/read_commands.cpp
@@ -92,7 +92,7 @@
     }
     const auto parsed = parseObject(read.object);
     context.out << chicoryspar::rowOf(*kind).name << "/" << arguments[1] << "\n  " << describeLastChange(json) << "\n";
-    context.out << toString(parsed.findings) << toString(parsed.unknownKeys);
+    context.out << toString(parsed.findings) << toString(parsed.unusedParts) << toString(parsed.unknownKeys);
     context.out << "spec: " << json.value("spec", Json()).dump(2) << "\nstatus: " << json.value("status", Json()).dump(2) << "\n";
     return ExitCode::Ok;
 }
--- a/src/node/control/config_driver.cpp
+++ b/src/node/control/config_driver.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kTimerPeriod = std::chrono::milliseconds(100);
+/// Number of unused parts of one object that are named in the log.
+constexpr std::size_t kMaxNamedParts = 10;
 
 /// Objects of a list call, parsed outside the node's thread.
 struct ParsedList
@@ -283,9 +285,28 @@
                                     .text = describeChange(it->change)});
         writeLog(LogLevel::Info, it->deleted ? "configuration object deleted" : "configuration object in force",
                  {{"object", subjectOf(it->key)}, {"version", std::to_string(it->version)}, {"change", it->change.changeId}});
+        recordUnusedParts(it->key);
     }
 }
 
+/// Logs the parts of a new version that can't be used; the first ones by name.
+void ConfigDriver::recordUnusedParts(const ObjectKey &key)
+{
+    const auto *entry = m_sync.set().find(key.kind, key.name);
+    if (!entry || entry->object->unusedParts.empty()) {
+        return;
+    }
+    const auto &parts = entry->object->unusedParts;
+    const auto named = std::min(parts.size(), kMaxNamedParts);
+    const auto text = toString({parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(named)});
+    m_context.recordEvent(Event{.kind = EventKind::ConfigRefused,
+                                .subject = subjectOf(key),
+                                .value = static_cast<std::int64_t>(entry->object->version),
+                                .text = text});
+    writeLog(LogLevel::Warning, "parts of a configuration object can't be used",
+             {{"object", subjectOf(key)}, {"parts", std::to_string(parts.size())}, {"findings", text}});
+}
+
 void ConfigDriver::recordRefusedObjects()
 {
     for (const auto &[key, refused] : m_sync.set().refusedObjects()) {
--- a/src/node/control/config_driver.h
+++ b/src/node/control/config_driver.h
@@ -62,6 +62,7 @@
     void onPullAnswer(NodeId from, std::string_view payload);
     void publish(TimePoint now);
     void recordChanges();
+    void recordUnusedParts(const ObjectKey &key);
     void recordRefusedObjects();
     void recordIgnoredObjects();
     void recordStoreState();
--- a/src/node/control/operator_api_cpprest.cpp
+++ b/src/node/control/operator_api_cpprest.cpp
@@ -263,6 +263,8 @@
 {
     auto text = m_context.metrics.renderText(m_context.settings.name);
     text += "chicoryspar_customers{node=\"" + m_context.settings.name + "\"} " + std::to_string(m_context.config.customers().size()) + "\n";
+    text += "chicoryspar_config_unused_parts{node=\"" + m_context.settings.name + "\"} "
+        + std::to_string(m_context.config.unusedParts().size()) + "\n";
     if (m_context.customers) {
         text += m_context.customers->renderMetrics();
     }
--- a/src/node/control/operator_views_json.cpp
+++ b/src/node/control/operator_views_json.cpp
@@ -119,6 +119,7 @@
             {"refused", describeRefused(sync.set(), now)},
             {"ignored", describeIgnored(sync.set(), now)},
             {"findings", describeFindings(sync.set().checkReferences())},
+            {"unusedParts", describeFindings(sync.set().unusedParts())},
             {"storeCalls", {{"list", counters.listCalls}, {"watch", counters.watchCalls}, {"failed", counters.failedCalls}}},
             {"pulls",
              {{"begun", counters.pulls},
--- a/src/node/control/where_view_json.cpp
+++ b/src/node/control/where_view_json.cpp
@@ -103,8 +103,8 @@
     }
     Json json{{"node", context.settings.name}, {"method", textField(query, "method")}, {"host", host}, {"path", path}};
     const auto *route = context.config.findRoute(toLowerCase(host), pathOf(path));
-    if (!route) {
-        json["refusal"] = rowOf(context.config.hasRoutes() ? Reason::UnknownService : Reason::NotConfigured).name;
+    if (!route || !route->isUsable) {
+        json["refusal"] = rowOf(!route && context.config.knowsAllRoutes() ? Reason::UnknownService : Reason::NotConfigured).name;
         return {.body = json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n"};
     }
     const auto *customer = customerName.empty() || route->isPublic ? nullptr : *found;
--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -92,8 +92,8 @@
     Target target{.service = fields.service};
     if (m_context.edge.usesRoutes()) {
         const auto *route = m_context.config.findRoute(fields.host, path);
-        if (!route) {
-            target.reason = m_context.config.hasRoutes() ? Reason::UnknownService : Reason::NotConfigured;
+        if (!route || !route->isUsable) {
+            target.reason = !route && m_context.config.knowsAllRoutes() ? Reason::UnknownService : Reason::NotConfigured;
             return target;
         }
         target.service = m_routeWeights.pick(*route);
@@ -142,7 +142,8 @@
         return {.reason = isLate ? Reason::Cancelled : Reason::CustomerUnknown};
     }
     const auto *customer = m_context.config.findCustomerByDigest(*fields.credential);
-    return {.customer = customer, .reason = customer ? Reason::None : Reason::CustomerUnknown};
+    const auto reasonIfUnknown = m_context.config.knowsAllKeys() ? Reason::CustomerUnknown : Reason::NotConfigured;
+    return {.customer = customer, .reason = customer ? Reason::None : reasonIfUnknown};
 }
 
 std::uint64_t EntryService::beginRequest(EntryRole role, HttpRequest request, HttpHandler::Respond respond)
