Customers: contacts that a process hasn't met hold their part of the limits

Cause: after 2 s, a node that had met nobody took itself for the whole deployment and granted the whole rate, although the store listed five contacts. Time alone had made it certain.

Change: unmet contacts count as nodes that may run behind a partition, in the fraction that owners grant, in their tokens at the start and in the share of detached nodes. Alone and before the list has been read, a node grants nothing. The list is evaluated when it or a member changes.

Result: on the old sources StartBehindAPartitionKeepsTheBound fails; it passes now, as do the generated histories, which no longer end the partition before a node starts.

--- a/include/chicoryspar/customer.h
+++ b/include/chicoryspar/customer.h
@@ -42,6 +42,18 @@
     TimePoint since{};
 };
 
+/// What the list of contacts of the deployment states about other nodes.
+struct CustomerContacts
+{
+    /// False until the list has been read: a node that has met no other one doesn't know yet whether it is alone.
+    bool isKnown = true;
+    std::size_t listed = 0;
+    /// Listed ones that this process hasn't met. They may be running behind a partition and spend their part of the limits.
+    std::size_t unmet = 0;
+
+    bool operator==(const CustomerContacts &) const = default;
+};
+
 /// Determines owners from the members that this node sees.
 class CustomerMembers
 {
@@ -58,10 +70,9 @@
         return m_nextChange;
     }
 
-    /// Sets the number of nodes that the deployment had lately, this one included, or 0 if unknown.
-    void setExpectedCount(std::size_t count)
+    void setContacts(const CustomerContacts &contacts)
     {
-        m_expected = count;
+        m_contacts = contacts;
     }
 
     /// Starts again after a pause of the process, in which others may have owned its customers.
@@ -82,15 +93,15 @@
     /// Returns whether this node can be expected to know the other members. Before that it grants nothing.
     bool isSettled(TimePoint now) const;
 
-    /// Returns the fraction of the limits that owners may grant. Suspect members and those that died recently may be running behind a
-    /// partition and spend the rest.
+    /// Returns the fraction of the limits that owners may grant. Suspect members, those that died recently and unmet contacts may be
+    /// running behind a partition and spend the rest.
     double presentFraction(TimePoint now) const;
 
-    /// Returns the number of members that are present or may be running behind a partition.
+    /// Returns the number of nodes that are present or may be running behind a partition.
     std::size_t count(TimePoint now) const;
 
     /// Returns the number of nodes over which the limits are divided where the owner doesn't decide: count(), and while this node isn't
-    /// settled at least the expected number. Returns 0 if neither is known.
+    /// settled at least the number of contacts. Returns 0 if neither is known.
     std::size_t shareCount(TimePoint now) const;
 
     TimePoint startedAt() const
@@ -112,7 +123,7 @@
     TimePoint m_startedAt;
     /// When the last new member was seen.
     TimePoint m_grownAt;
-    std::size_t m_expected = 0;
+    CustomerContacts m_contacts;
     bool m_wasPaused = false;
     std::vector<CustomerMember> m_members;
     /// Candidates for the ownership, and the number of suspect ones among them.
@@ -390,8 +401,7 @@
 
     void setMembers(TimePoint now, std::vector<CustomerMember> members);
     void setLimits(TimePoint now, std::vector<CustomerLimit> limits);
-    /// Sets the number of nodes that the deployment had lately; see CustomerMembers::setExpectedCount().
-    void setExpectedCount(std::size_t count);
+    void setContacts(const CustomerContacts &contacts);
     /// Gives all buckets up after a pause of the process that was long enough for others to have owned its customers.
     void onPaused(TimePoint now);
 
--- a/src/customer/customer_limiter.cpp
+++ b/src/customer/customer_limiter.cpp
@@ -37,9 +37,9 @@
     m_owner.clear();
 }
 
-void CustomerLimiter::setExpectedCount(std::size_t count)
+void CustomerLimiter::setContacts(const CustomerContacts &contacts)
 {
-    m_members.setExpectedCount(count);
+    m_members.setContacts(contacts);
 }
 
 /// Hands messages to this node over until there are none left.
--- a/src/customer/customer_members.cpp
+++ b/src/customer/customer_members.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kStableTime = std::chrono::milliseconds(400);
 /// The same for a node that sees as many members as the deployment had lately.
 constexpr Duration kCompleteStableTime = std::chrono::milliseconds(150);
-/// Fewer expected nodes than this say nothing: the first nodes of a new deployment find few contacts.
+/// Fewer nodes than this say nothing: the first ones of a new deployment find few contacts.
 constexpr std::size_t kMinExpected = 3;
 /// A member that died this recently may be running behind a partition. Longer partitions are repaired or their hosts replaced.
 constexpr Duration kMissingTime = std::chrono::minutes(10);
@@ -125,9 +125,13 @@
 
 bool CustomerMembers::isSettled(TimePoint now) const
 {
-    const bool isComplete = m_expected >= kMinExpected && m_present.size() >= m_expected;
+    const bool isAlone = m_present.size() <= 1;
+    if (isAlone && !m_contacts.isKnown) {
+        return false;
+    }
+    const bool isComplete = m_contacts.listed + 1 >= kMinExpected && m_present.size() > m_contacts.listed;
     const auto stableTime = isComplete ? kCompleteStableTime : kStableTime;
-    return now - m_startedAt >= kSettleTime || (m_present.size() > 1 && now - m_grownAt >= stableTime);
+    return now - m_startedAt >= kSettleTime || (!isAlone && now - m_grownAt >= stableTime);
 }
 
 std::size_t CustomerMembers::shareCount(TimePoint now) const
@@ -135,13 +139,14 @@
     if (isSettled(now)) {
         return count(now);
     }
-    return m_expected >= kMinExpected ? std::max(count(now), m_expected) : 0;
+    const auto expected = m_contacts.isKnown ? m_contacts.listed + 1 : 0;
+    return expected >= kMinExpected ? std::max(count(now), expected) : 0;
 }
 
 std::size_t CustomerMembers::count(TimePoint now) const
 {
     const auto missing = std::count_if(m_absent.begin(), m_absent.end(), [now](const auto &it) { return isMissing(now, it); });
-    return m_present.size() + static_cast<std::size_t>(missing);
+    return m_present.size() + static_cast<std::size_t>(missing) + m_contacts.unmet;
 }
 
 double CustomerMembers::presentFraction(TimePoint now) const
--- a/src/customer/customer_owner.cpp
+++ b/src/customer/customer_owner.cpp
@@ -167,11 +167,12 @@
         return nullptr;
     }
     const bool isFromStart = m_members.isOwnedFromStart(customer);
+    const auto atStart = startTokens(limit->requestsPerSecond, limit->burst) * m_members.presentFraction(now);
     auto &bucket = m_buckets[customer];
     bucket = std::make_unique<Bucket>(Bucket{.customer = customer,
                                              .requestsPerSecond = limit->requestsPerSecond,
                                              .burst = limit->burst,
-                                             .tokens = isFromStart ? startTokens(limit->requestsPerSecond, limit->burst) : 0,
+                                             .tokens = isFromStart ? atStart : 0,
                                              .refilledAt = m_members.ownedSince(customer),
                                              .createdAt = now});
     refill(now, *bucket);
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -99,6 +99,7 @@
     CustomerLimits *customers = nullptr;
 
     ChangeSignal configChanged;
+    /// The record or state of a member, this node included, or the list of contacts.
     ChangeSignal membersChanged;
     /// The store returned from an older copy: what this node wrote there may be gone.
     ChangeSignal storeRestored;
--- a/src/node/control/contact_directory.cpp
+++ b/src/node/control/contact_directory.cpp
@@ -49,6 +49,7 @@
 void ContactDirectory::start()
 {
     if (m_isEnabled && m_store.hasStore()) {
+        m_membership.awaitContacts();
         m_context.storeRestored.connect([this](TimePoint) { onStoreRestored(); });
         run();
     }
--- a/src/node/customer/customer_limits.cpp
+++ b/src/node/customer/customer_limits.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <unordered_set>
 
 namespace chicoryspar {
 namespace {
@@ -57,13 +58,20 @@
         m_limiter.onPaused(now);
     }
     std::vector<CustomerMember> members;
+    std::unordered_set<std::string_view> metAddresses;
     for (const auto *it : m_context.membership->members()) {
+        metAddresses.insert(it->info.address);
         members.push_back({.node = it->info.id,
                            .isPresent = it->isPresent(),
                            .isSuspect = it->state == MemberState::Suspect,
                            .hasLeft = it->state == MemberState::Left,
                            .since = it->since});
     }
+    const auto &contacts = m_membership.contacts();
+    const auto isUnmet = [&metAddresses](const std::string &it) { return !metAddresses.contains(it); };
+    m_limiter.setContacts({.isKnown = m_membership.areContactsKnown(),
+                           .listed = contacts.size(),
+                           .unmet = static_cast<std::size_t>(std::count_if(contacts.begin(), contacts.end(), isUnmet))});
     m_limiter.setMembers(now, std::move(members));
     armTimer(now);
 }
@@ -89,8 +97,6 @@
         handler({});
         return 0;
     }
-    const auto contacts = m_membership.contactCount();
-    m_limiter.setExpectedCount(contacts > 0 ? contacts + 1 : 0);
     const auto ticket = ++m_lastTicket;
     const CustomerLimit limit{customerKeyOf(customer.name), customer.requestsPerSecond, customer.burst};
     CustomerOutput output;
--- a/src/node/peers/membership_driver.cpp
+++ b/src/node/peers/membership_driver.cpp
@@ -95,9 +95,29 @@
 
 void MembershipDriver::setContacts(std::vector<std::string> contacts)
 {
-    m_contactCount = contacts.size();
+    const bool isChanged = !m_areContactsKnown || contacts != m_contacts;
+    m_areContactsKnown = true;
+    m_contacts = contacts;
     contacts.insert(contacts.end(), m_context.settings.seeds.begin(), m_context.settings.seeds.end());
     m_membership->setContacts(std::move(contacts));
+    if (isChanged) {
+        m_context.membersChanged.emitChange(steadyNow());
+    }
+}
+
+void MembershipDriver::awaitContacts()
+{
+    m_areContactsKnown = false;
+}
+
+bool MembershipDriver::areContactsKnown() const
+{
+    return m_areContactsKnown;
+}
+
+const std::vector<std::string> &MembershipDriver::contacts() const
+{
+    return m_contacts;
 }
 
 void MembershipDriver::setConfigDigest(std::uint64_t digest, std::string payload)
--- a/src/node/peers/membership_driver.h
+++ b/src/node/peers/membership_driver.h
@@ -40,11 +40,14 @@
     /// Replaces the addresses to contact when joining, in addition to the seeds of the settings.
     void setContacts(std::vector<std::string> contacts);
 
-    /// Returns the number of addresses of other nodes that setContacts() stated last.
-    std::size_t contactCount() const
-    {
-        return m_contactCount;
-    }
+    /// States that setContacts() will be called once the list of contacts has been read.
+    void awaitContacts();
+
+    /// Returns whether the contacts are known; true where there is no list of them.
+    bool areContactsKnown() const;
+
+    /// Returns the addresses of other nodes that setContacts() stated last.
+    const std::vector<std::string> &contacts() const;
 
     /// Sets the configuration digest and payload that datagrams carry.
     void setConfigDigest(std::uint64_t digest, std::string payload);
@@ -91,7 +94,8 @@
     PayloadHandler m_payloadHandler;
     DatagramCounters m_counters;
     TimePoint m_nextSkewEventAt{};
-    std::size_t m_contactCount = 0;
+    std::vector<std::string> m_contacts;
+    bool m_areContactsKnown = true;
     bool m_isStopped = false;
 };
 
--- a/tests/customer_model.h
+++ b/tests/customer_model.h
@@ -67,8 +67,10 @@
         node.waiting.clear();
         node.limiter = std::make_unique<CustomerLimiter>(node.id, ++m_boot, now);
         node.limiter->setLimits(now, {limit});
+        node.met.assign(m_nodes.size(), false);
+        node.met[n] = true;
         // A node lists its contacts before it sees the members.
-        node.limiter->setExpectedCount(m_options.expectedNodes);
+        setContacts(node);
     }
 
     void kill(std::size_t n)
@@ -190,6 +192,8 @@
         bool isRunning = false;
         std::unique_ptr<CustomerLimiter> limiter;
         std::vector<CustomerMember> view;
+        /// Nodes that this process has seen present.
+        std::vector<bool> met;
         std::map<std::uint64_t, TimePoint> waiting;
     };
 
@@ -198,6 +202,14 @@
         return m_nodes[a].isRunning && m_nodes[b].isRunning && (a < m_cut) == (b < m_cut);
     }
 
+    void setContacts(Node &node)
+    {
+        if (m_options.expectedNodes > 0) {
+            const auto unmet = std::count(node.met.begin(), node.met.end(), false);
+            node.limiter->setContacts({.listed = m_options.expectedNodes - 1, .unmet = static_cast<std::size_t>(unmet)});
+        }
+    }
+
     void setViews(bool isFinal)
     {
         for (std::size_t n = 0; n < m_nodes.size(); ++n) {
@@ -213,7 +225,9 @@
                 }
                 view[k].isSuspect = isSuspect;
                 view[k].isPresent = isPresent;
+                m_nodes[n].met[k] = m_nodes[n].met[k] || isPresent;
             }
+            setContacts(m_nodes[n]);
             m_nodes[n].limiter->setMembers(now, view);
         }
     }
--- a/tests/test_customer_limits.cpp
+++ b/tests/test_customer_limits.cpp
@@ -89,6 +89,59 @@
     EXPECT_GT(ownersCut[1], 0);
 }
 
+// Guards against a second owner that grants the whole limit: a node that starts while it is cut off has met no other node, but the store
+// lists them. With up to a third of the nodes on its side, which started there too.
+TEST(CustomerLimits, StartBehindAPartitionKeepsTheBound)
+{
+    for (const auto &[rate, burst] : kLimits) {
+        for (const std::size_t cut : {1, 2}) {
+            CustomerModel model({.seed = 7, .nodes = 6, .requestsPerSecond = rate, .burst = burst, .expectedNodes = 6});
+            model.run(5s, rate * kHot);
+            model.partition(cut);
+            model.spreadViews(6s);
+            for (std::size_t n = 0; n < cut; ++n) {
+                model.start(n);
+            }
+            model.run(15s, rate * kHot);
+            EXPECT_LE(model.worstExcess(), 0) << rate << " cut " << cut;
+            model.partition(0);
+            model.spreadViews(1s);
+            model.run(10s, rate * kHot);
+            EXPECT_LE(model.worstExcess(), 0) << rate << " cut " << cut << ", after it";
+        }
+    }
+}
+
+// A node that doesn't know yet whether it is alone grants nothing, however long that takes.
+TEST(CustomerLimits, UnknownContactsAndNoMemberGrantNothing)
+{
+    Random random(1);
+    const TimePoint start{1h};
+    const CustomerLimit limit{.customer = 1, .requestsPerSecond = 100, .burst = 100};
+    CustomerLimiter limiter(makeNodeId("a"), 1, start);
+    limiter.setLimits(start, {limit});
+    limiter.setContacts({.isKnown = false});
+    limiter.setMembers(start, {{.node = makeNodeId("a"), .isPresent = true}});
+    CustomerOutput output;
+    std::uint64_t admitted = 0;
+    const auto send = [&](TimePoint now) {
+        admitted += limiter.admit(now, random, limit, 1, output).verdict == RateLimitVerdict::Admitted ? 1 : 0;
+        limiter.onTimer(now, random, output);
+    };
+    for (auto now = start; now < start + 1min; now += 100ms) {
+        send(now);
+    }
+    for (const auto &it : output.resolved) {
+        admitted += it.decision.verdict == RateLimitVerdict::Admitted ? 1 : 0;
+    }
+    EXPECT_EQ(admitted, 0U);
+    EXPECT_FALSE(limiter.members().isSettled(start + 1min));
+    limiter.setContacts({.isKnown = true});
+    EXPECT_TRUE(limiter.members().isSettled(start + 1min));
+    send(start + 1min + 1s);
+    EXPECT_EQ(admitted, 1U);
+}
+
 // Guards against a bucket that keeps tokens of a higher limit.
 TEST(CustomerLimits, LoweredLimitBindsWithinOneWindow)
 {
@@ -345,7 +398,7 @@
             model.partition(0);
             model.spreadViews(1s);
             break;
-        // A process that starts behind a partition can't know of the nodes on the other side, so the cut ends first.
+        // A process that starts behind a partition doesn't know of the nodes on the other side unless there is a list of contacts.
         case 3:
             model.partition(0);
             model.killAll();
@@ -353,7 +406,9 @@
             model.startAll();
             break;
         case 4:
-            model.partition(0);
+            if (!isCountExpected) {
+                model.partition(0);
+            }
             model.start(n);
             model.spreadViews(500ms);
             break;
