Entry: a new process refuses no call of an earlier one's requests for good

Cause: calls without a key are told from requests of callers by the running calls of this process, which is empty after a start. Calls that were given up had the same form: only 1,024 were remembered, and none while customers weren't configured.

Change: until the longest route timeout and the time of a slow backend server have passed since the start, such a request gets 503 with the new reason parent-unknown; the backend server itself ends the earlier calls by then. The list of given-up calls states whether it is complete.

--- a/include/chicoryspar/config.h
+++ b/include/chicoryspar/config.h
@@ -529,6 +529,8 @@
     const RoutedServiceSpec *findRoutedService(std::string_view service) const;
     /// Returns the shortest latency objective of all routes to @a service, or nothing if there is no such route.
     std::optional<Duration> shortestLatencyObjective(std::string_view service) const;
+    /// Returns the longest timeout of all routes; 0 without one.
+    Duration longestRouteTimeout() const;
     /// Returns the limits of the route table, or the defaults without one.
     const TrafficLimits &trafficLimits() const;
     /// Returns whether requests to routes that aren't public need the key of a customer.
@@ -584,6 +586,7 @@
     /// Routes by host, longest prefix first.
     std::unordered_map<std::string, std::vector<const RouteSpec *>, NameHash, std::equal_to<>> m_routes;
     const RouteTableSpec *m_routeTable = nullptr;
+    Duration m_longestRouteTimeout{0};
     std::vector<const CustomerSpec *> m_customers;
     /// Customers by the digests of their keys. Views and pointers lead into the objects in force.
     std::unordered_map<std::string_view, const CustomerSpec *, NameHash> m_customersByDigest;
--- a/include/chicoryspar/core.h
+++ b/include/chicoryspar/core.h
@@ -182,6 +182,8 @@
     // Customers.
     CustomerUnknown,
     CustomerRateLimit,
+    // Child calls.
+    ParentUnknown,
     Count,
 };
 
--- a/src/config/lookup.cpp
+++ b/src/config/lookup.cpp
@@ -50,6 +50,7 @@
 {
     m_routeTable = &table;
     for (const auto &it : table.routes) {
+        m_longestRouteTimeout = std::max(m_longestRouteTimeout, it.timeout);
         m_routes[it.host].push_back(&it);
     }
     for (auto &[host, routes] : m_routes) {
@@ -79,6 +80,7 @@
     m_requiresCustomers = false;
     m_routes.clear();
     m_routeTable = nullptr;
+    m_longestRouteTimeout = Duration{0};
     m_services.clear();
     m_exactCallers.clear();
     m_callerPrefixes.clear();
@@ -227,6 +229,11 @@
     return m_customers;
 }
 
+Duration ConfigSet::longestRouteTimeout() const
+{
+    return m_longestRouteTimeout;
+}
+
 const TrafficLimits &ConfigSet::trafficLimits() const
 {
     return m_routeTable ? m_routeTable->limits : kDefaultTrafficLimits;
--- a/src/core/tables.cpp
+++ b/src/core/tables.cpp
@@ -58,6 +58,7 @@
     {"memory-limit", 503, "the node's limit on buffered bytes is reached"},
     {"customer-unknown", 401, "the request carries no key of a configured customer"},
     {"customer-rate-limit", 429, "the customer's rate limit over all nodes is reached"},
+    {"parent-unknown", 503, "an earlier process of this node may have begun the call that the request belongs to"},
 }};
 
 class ReasonCategory : public std::error_category
--- a/src/node/context.cpp
+++ b/src/node/context.cpp
@@ -14,6 +14,7 @@
     , edge(edgeDialect)
     , self(makeNodeId(nodeSettings.name))
     , boot(bootTimeMs)
+    , startedAt(steadyNow())
     , random(seed)
     , events(EventBufferOptions{.node = nodeSettings.name, .boot = bootTimeMs, .maxBytes = nodeSettings.maxEventBytes})
 {
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -76,6 +76,8 @@
     NodeId self;
     /// Start time of this process, in milliseconds since the Unix epoch.
     std::uint64_t boot;
+    /// The same on the steady clock.
+    TimePoint startedAt;
     Random random;
     HybridClock clock;
     EventBuffer events;
--- a/src/node/entry/entry_service.cpp
+++ b/src/node/entry/entry_service.cpp
@@ -121,6 +121,19 @@
     return mayHaveParent && !fields.parentToken.empty() ? m_context.gate->findParent(fields.parentToken) : std::nullopt;
 }
 
+/// Returns why a request without a key is refused. 401 would tell a backend server that goes on with a call which was given up, or which an
+/// earlier process of this node sent, that it may not make its calls at all.
+Reason EntryService::reasonWithoutKey(TimePoint now, const EntryFields &fields) const
+{
+    if (fields.parentToken.empty()) {
+        return Reason::CustomerUnknown;
+    }
+    if (m_context.gate->hasAbandoned(now, fields.parentToken)) {
+        return Reason::Cancelled;
+    }
+    return m_context.gate->knowsAllCalls(now) ? Reason::CustomerUnknown : Reason::ParentUnknown;
+}
+
 /// Finds out whose request it is. Only a request without a key can be a call of the backend server if its parent was inferred from a field
 /// that clients may set as well.
 EntryService::Origin EntryService::findOrigin(TimePoint now, EntryRole role, const EntryFields &fields, const Target &target) const
@@ -137,9 +150,7 @@
         return {};
     }
     if (!fields.credential) {
-        // 401 would tell a backend server that goes on with a call that was given up that it may not make its calls at all.
-        const bool isLate = !fields.parentToken.empty() && m_context.gate->hasAbandoned(now, fields.parentToken);
-        return {.reason = isLate ? Reason::Cancelled : Reason::CustomerUnknown};
+        return {.reason = reasonWithoutKey(now, fields)};
     }
     const auto *customer = m_context.config.findCustomerByDigest(*fields.credential);
     const auto reasonIfUnknown = m_context.config.knowsAllKeys() ? Reason::CustomerUnknown : Reason::NotConfigured;
--- a/src/node/entry/entry_service.h
+++ b/src/node/entry/entry_service.h
@@ -109,6 +109,7 @@
     HttpResponse answerReadiness() const;
     Target findTarget(const EntryFields &fields, const HttpRequest &request);
     std::optional<GateService::Parent> findParent(EntryRole role, const EntryFields &fields) const;
+    Reason reasonWithoutKey(TimePoint now, const EntryFields &fields) const;
     Origin findOrigin(TimePoint now, EntryRole role, const EntryFields &fields, const Target &target) const;
 
     NodeContext &m_context;
--- a/src/node/gate/gate_service.cpp
+++ b/src/node/gate/gate_service.cpp
@@ -21,9 +21,6 @@
 constexpr int kServiceTimeSamples = 20;
 /// Maximum number of routes whose mean service times are kept.
 constexpr std::size_t kMaxRoutes = 256;
-/// Time for which a call that ended without an answer is remembered: longer than a slow backend server runs on.
-constexpr Duration kAbandonedRetention = std::chrono::seconds(30);
-constexpr std::size_t kMaxAbandonedCalls = 1024;
 /// Number of child calls among which a running call is assumed to divide its retry tokens.
 constexpr std::uint16_t kChildTokenSiblings = 2;
 
@@ -355,7 +352,7 @@
     m_ticketsByToken.erase(call.token);
     cancelChildren(call);
     if (call.exchangeId != 0 && answer.outcome == Outcome::Unknown) {
-        rememberAbandoned(steadyNow(), call);
+        m_abandonedCalls.add(steadyNow(), call.token);
     }
     answer.retryTokensLeft = call.budget.left();
     answer.tokensReturned = true;
@@ -416,22 +413,16 @@
     return Parent{call.request.context, call.deadline, call.request.caller};
 }
 
-void GateService::rememberAbandoned(TimePoint now, const Call &call)
+bool GateService::hasAbandoned(TimePoint now, std::string_view token) const
 {
-    if (!m_context.config.requiresCustomers()) {
-        return;
-    }
-    if (m_abandonedCalls.size() >= kMaxAbandonedCalls) {
-        m_abandonedCalls.pop_front();
-    }
-    m_abandonedCalls.push_back({hashBytes(call.token), now});
+    return m_abandonedCalls.contains(now, token);
 }
 
-bool GateService::hasAbandoned(TimePoint now, std::string_view token) const
+bool GateService::knowsAllCalls(TimePoint now) const
 {
-    const auto hash = hashBytes(token);
-    return std::any_of(m_abandonedCalls.begin(), m_abandonedCalls.end(),
-                       [&](const AbandonedCall &it) { return it.tokenHash == hash && now - it.endedAt < kAbandonedRetention; });
+    // A call ends by the timeout of its route, and a slow backend server runs on for a while.
+    const auto earlierCallsEndAt = m_context.startedAt + m_context.config.longestRouteTimeout() + AbandonedCalls::kRetention;
+    return now >= earlierCallsEndAt && m_abandonedCalls.isComplete(now);
 }
 
 std::uint16_t GateService::grantTokens(const std::string &token, std::uint64_t child)
--- a/src/node/gate/gate_service.h
+++ b/src/node/gate/gate_service.h
@@ -4,6 +4,7 @@
 /// Gate of the backend server on this host: admits calls, runs them and reports their outcome.
 
 #include "node/context.h"
+#include "node/gate/abandoned_calls.h"
 #include "node/gate/backend_client.h"
 #include "node/gate/gate_repeats.h"
 #include "overload/pause_watch.h"
@@ -59,9 +60,12 @@
     std::optional<Parent> findParent(const std::string &token) const;
 
     /// Returns whether the call with this token ended a short time ago without an answer, so that the backend server may still run it.
-    /// Remembered only where customers are configured, because only there a child call without a known parent is refused.
     bool hasAbandoned(TimePoint now, std::string_view token) const;
 
+    /// Returns whether findParent() and hasAbandoned() cover every call that the backend server may run. They don't at first: the backend
+    /// server goes on with the calls of an earlier process of this node until their deadlines.
+    bool knowsAllCalls(TimePoint now) const;
+
     /// Takes retry tokens of a running call for one of its child calls.
     /// @param token identifies the running call
     /// @param child identifies the child call; also for returnTokens(), addChild() and removeChild()
@@ -157,7 +161,6 @@
     void onResult(std::uint64_t ticket, BackendResult result);
     void finish(std::uint64_t ticket, CallAnswer answer);
     void cancelChildren(const Call &call);
-    void rememberAbandoned(TimePoint now, const Call &call);
     BackendOutcome judgeResponse(const Call &call, const HttpResponse &response) const;
     HttpRequest makeBackendRequest(TimePoint now, Call &call) const;
     Duration exchangeTimeout(TimePoint now, const Call &call) const;
@@ -203,14 +206,7 @@
     std::unordered_map<std::uint64_t, Call> m_calls;
     std::unordered_map<std::string, std::uint64_t> m_ticketsByToken;
     std::uint64_t m_lastTicket = 0;
-    /// A dispatched call that ended without an answer.
-    struct AbandonedCall
-    {
-        std::uint64_t tokenHash = 0;
-        TimePoint endedAt;
-    };
-    /// Oldest first.
-    std::deque<AbandonedCall> m_abandonedCalls;
+    AbandonedCalls m_abandonedCalls;
     std::unordered_map<std::string, Duration> m_meanServiceTimes;
     LoadMeter m_loadMeter;
     Duration m_remainingWork{0};
