Membership: changes of the own record are notified like those of others

Cause: routers follow a notice that hung on the log's list of changes, which has those of other members only. A router that a request had created before the announcement left the node's own backend server out for good.

Change: Membership::revision() increases with each change of a record or state in the view; the driver notifies when it differs. This covers a new boot after a pause or a claim of another process, the view that is emptied after a long pause, the own leave, and members that are forgotten.

Result: on the old sources RouterFollowsTheAnnouncementsOfTheNodesOwn- BackendServer fails; it passes now.

--- a/include/chicoryspar/membership.h
+++ b/include/chicoryspar/membership.h
@@ -354,6 +354,10 @@
     /// Returns the changes since the last call, oldest first.
     std::vector<MemberChange> takeChanges();
 
+    /// Increases with each change of the record or state of a member, this node included, and with each member that is added or removed.
+    /// What is derived from members() is out of date once it differs. Incarnations and configuration digests alone don't count.
+    std::uint64_t revision() const;
+
     /// Returns a hash over identifier, incarnation and version of the present members; equal views have equal hashes.
     std::uint64_t viewDigest() const;
 
--- a/src/membership/member_view.cpp
+++ b/src/membership/member_view.cpp
@@ -30,6 +30,7 @@
 void recordChange(MemberView &view, MemberChangeKind kind, const Member &member)
 {
     view.changes.push_back({kind, member});
+    ++view.revision;
 }
 
 void setState(MemberView &view, Member &member, TimePoint now, MemberState state)
@@ -81,6 +82,7 @@
     member.info.id = claim.id;
     member.info.incarnation = claim.incarnation;
     const auto &added = view.members.emplace(claim.id, std::move(member)).first->second;
+    ++view.revision;
     if (added.state == MemberState::Suspect) {
         view.suspects.push_back(claim.id);
     }
@@ -120,6 +122,7 @@
     }
     const bool appliesRecord = isNewRecord && claim.info.has_value();
     const bool isRestart = appliesRecord && setInfo(member, claim);
+    view.revision += appliesRecord ? 1 : 0;
     if (isNewer) {
         member.info.incarnation = claim.incarnation;
         setState(view, member, now, claim.state);
@@ -177,7 +180,7 @@
 
 void forgetRemoved(MemberView &view, TimePoint now, Duration age)
 {
-    std::erase_if(view.members, [&](const auto &it) { return !it.second.isPresent() && now - it.second.since > age; });
+    view.revision += std::erase_if(view.members, [&](const auto &it) { return !it.second.isPresent() && now - it.second.since > age; });
 }
 
 } // namespace chicoryspar
--- a/src/membership/member_view.h
+++ b/src/membership/member_view.h
@@ -28,6 +28,8 @@
     std::vector<NodeId> others;
     /// Changes that haven't been taken with Membership::takeChanges(), oldest first.
     std::vector<MemberChange> changes;
+    /// See Membership::revision().
+    std::uint64_t revision = 1;
 };
 
 /// Applies a claim about a member other than this node.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -72,6 +72,7 @@
     std::erase_if(state.view.members, [&state](const auto &it) { return it.first != state.view.self; });
     state.view.suspects.clear();
     state.view.others.clear();
+    ++state.view.revision;
 }
 
 } // namespace
@@ -159,6 +160,7 @@
     auto &self = state.view.members.at(state.view.self);
     self.state = MemberState::Left;
     self.since = now;
+    ++state.view.revision;
     enqueueUpdate(state.queue, now, state.view.self, false, true);
     pushUrgent({state, now, random, out});
 }
@@ -181,6 +183,7 @@
         info.boot += static_cast<std::uint64_t>(toMilliseconds(gap));
         info.incarnation = std::max(info.incarnation + 1, info.boot);
         info.version = nextVersion(info.version, 0);
+        ++state.view.revision;
         enqueueUpdate(state.queue, now, state.view.self, true, true);
     }
 }
@@ -261,6 +264,11 @@
     return std::exchange(m_state->view.changes, {});
 }
 
+std::uint64_t Membership::revision() const
+{
+    return m_state->view.revision;
+}
+
 std::uint64_t Membership::viewDigest() const
 {
     const auto hashes = bucketHashes(m_state->view);
--- a/src/membership/membership_claims.cpp
+++ b/src/membership/membership_claims.cpp
@@ -42,6 +42,7 @@
     self.info.boot = std::max(self.info.boot, foreignBoot + 1);
     self.info.incarnation = std::max({self.info.incarnation, claim.incarnation, self.info.boot}) + 1;
     self.info.version = nextVersion(self.info.version, claim.version);
+    ++state.view.revision;
     enqueueUpdate(state.queue, call.now, state.view.self, true, true);
 }
 
@@ -167,6 +168,7 @@
 {
     auto &self = selfOf(call.state);
     self.info.version = nextVersion(self.info.version, 0);
+    ++call.state.view.revision;
     enqueueUpdate(call.state.queue, call.now, call.state.view.self, true, true);
 }
 
--- a/src/node/peers/membership_driver.cpp
+++ b/src/node/peers/membership_driver.cpp
@@ -173,8 +173,10 @@
 void MembershipDriver::beginLeave()
 {
     std::vector<OutgoingMessage> out;
-    m_membership->leave(steadyNow(), m_context.random, out);
+    const auto now = steadyNow();
+    m_membership->leave(now, m_context.random, out);
     sendMessages(out);
+    recordChanges(now);
 }
 
 void MembershipDriver::stop()
@@ -300,7 +302,8 @@
         writeLog(LogLevel::Info, rowOf(kind).text,
                  {{"member", it.member.info.name}, {"readiness", std::string(rowOf(it.member.info.readiness).name)}});
     }
-    if (!changes.empty()) {
+    if (m_membership->revision() != m_notifiedRevision) {
+        m_notifiedRevision = m_membership->revision();
         m_context.membersChanged.emitChange(now);
     }
 }
--- a/src/node/peers/membership_driver.h
+++ b/src/node/peers/membership_driver.h
@@ -81,6 +81,7 @@
     void sendMessages(std::vector<OutgoingMessage> &out);
     void sendMessage(OutgoingMessage &outgoing);
     void sendDatagram(const std::string &to, std::string_view payload);
+    /// Records the changes of the membership and notifies the parts of the node that depend on it.
     void recordChanges(TimePoint now);
     std::string sign(std::string_view payload) const;
 
@@ -96,6 +97,8 @@
     TimePoint m_nextSkewEventAt{};
     std::vector<std::string> m_contacts;
     bool m_areContactsKnown = true;
+    /// Membership::revision() at the last notification.
+    std::uint64_t m_notifiedRevision = 0;
     bool m_isStopped = false;
 };
 
--- a/tests/io_entry_customers.cpp
+++ b/tests/io_entry_customers.cpp
@@ -321,6 +321,19 @@
     EXPECT_TRUE(isOk(call(socket, "/own/x", kValid)));
 }
 
+// After a restart the backend server announced itself last: its node had made the router of its service before and left it out for good.
+TEST_F(EntryCustomers, RouterFollowsTheAnnouncementsOfTheNodesOwnBackendServer)
+{
+    configure(customersWith(kKey));
+    gate.applyDeparture(steadyNow(), "i");
+    EXPECT_TRUE(call("/own/x", kValid).starts_with("HTTP/1.1 503"));
+    EXPECT_EQ(dispatcher.explainRoutes(steadyNow(), "orders").front().ready, false);
+    instance = "j";
+    announce();
+    EXPECT_TRUE(dispatcher.explainRoutes(steadyNow(), "orders").front().ready);
+    EXPECT_TRUE(isOk(call("/own/x", kValid)));
+}
+
 // A node that has just started knows no customers: its 401 would tell valid clients that their keys are wrong.
 TEST_F(EntryCustomers, UnconfiguredNodeAnswers503)
 {
