HTTP: heads of answers are checked against the whole grammar at each reader

Callers saw: an answer of a backend server with the status 000 was passed on. A line that begins with a blank was joined to the one before, a coded body was passed on without its coding, and fields of a trailer were added to those of the head.

Cause: valid was what the HTTP library takes. In the store client a status below 200 counted as a success.

Change: checkResponseHead() comes before the parser in the client of the backend server, the store client, chicorysparctl, chicoryspar-timeline and the caller library. The client of cpprestsdk gives no access to the bytes of a head, so the store client and the two programs use one call on one connection (store/http_call.h). Paths are percent-encoded: a contact with a blank in its name threw there. Trailer fields are dropped; a keep-alive timeout of 17 digits no longer overflows.

--- a/include/chicoryspar/core.h
+++ b/include/chicoryspar/core.h
@@ -287,6 +287,27 @@
 /// Sorts @a nodes by descending rendezvous weight for @a key, equal weights by ascending identifier.
 void sortByRank(std::vector<NodeId> &nodes, std::uint64_t key);
 
+// Heads of HTTP responses of other programs.
+
+/// Returns whether @a status is one that a response can have: 100 to 599.
+bool isResponseStatus(int status);
+
+/// Returns whether @a name is a token (RFC 9110, section 5.6.2), as the name of a field must be.
+bool isFieldName(std::string_view name);
+
+/// Returns whether @a value can be the value of a field (RFC 9110, section 5.5): no control characters but tabs.
+bool isFieldValue(std::string_view value);
+
+/// Checks the head of a response against the grammar (RFC 9112, sections 2 to 6): status line, field lines, and the fields that delimit the
+/// body. Refused as well are lines that continue the one before, codings other than chunked, and more than one field that delimits the
+/// body.
+/// @param head all lines and the empty one that ends them
+/// @returns what is wrong; empty for a valid head
+std::string_view checkResponseHead(std::string_view head);
+
+/// Percent-encodes (RFC 3986) all bytes of @a text but letters, digits and @a symbols.
+std::string percentEncode(std::string_view text, std::string_view symbols);
+
 // JSON text of other writers. These functions don't recurse and accept any bytes.
 
 /// Deepest nesting of arrays and objects that is read; JSON libraries recurse per level and could exhaust the stack.
--- a/src/caller/http_client.cpp
+++ b/src/caller/http_client.cpp
@@ -18,6 +18,10 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t kMaxResponseBytes = 64U << 20U;
+/// Largest head of a response, and bytes that one read may take beyond it.
+constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+constexpr std::size_t kReadBytes = 64U << 10U;
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::array<std::string_view, static_cast<std::size_t>(ExchangeEnd::Count)> kExchangeEndNames = {
     "answered", "not-sent", "lost", "timed-out", "cancelled",
 };
@@ -31,7 +35,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{kMaxHeadBytes + kReadBytes};
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -215,6 +219,35 @@
             return;
         }
         m_writeFailed = static_cast<bool>(ec);
+        readHead();
+    }
+
+    void readHead()
+    {
+        auto &buffer = m_connection->buffer;
+        m_connection->stream.async_read_some(buffer.prepare(beast::read_size(buffer, kReadBytes)),
+                                             [self = shared_from_this()](const ErrorCode &ec, std::size_t n) { self->onHeadBytes(ec, n); });
+    }
+
+    /// Checks the head against the grammar before the parser, which accepts more, gets it.
+    void onHeadBytes(const ErrorCode &ec, std::size_t n)
+    {
+        if (ec || m_cancelled) {
+            onRead(ec);
+            return;
+        }
+        auto &buffer = m_connection->buffer;
+        buffer.commit(n);
+        const std::string_view text(static_cast<const char *>(buffer.data().data()), buffer.size());
+        const auto end = text.find(kHeadEnd);
+        if (end == std::string_view::npos && text.size() < kMaxHeadBytes) {
+            readHead();
+            return;
+        }
+        if (end == std::string_view::npos || !checkResponseHead(text.substr(0, end + kHeadEnd.size())).empty()) {
+            onRead(http::error::bad_field);
+            return;
+        }
         http::async_read(m_connection->stream, m_connection->buffer, m_parser,
                          [self = shared_from_this()](const ErrorCode &ec, std::size_t) { self->onRead(ec); });
     }
--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -36,9 +36,14 @@
 constexpr int kMaxMismatchedAnswers = 4;
 /// Interim responses (1xx) to one request that are skipped before the connection is closed.
 constexpr int kMaxInterimAnswers = 16;
+/// A longer keep-alive timeout counts as this one, an hour.
+constexpr std::uint64_t kMaxKeepAliveSeconds = 3600;
 /// Bytes of a body that one read may take from the socket.
 constexpr std::size_t kBodyReadBytes = 64 * 1024;
 
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr unsigned kSwitchingProtocols = 101;
+
 bool isInterim(unsigned status)
 {
     return status >= 100 && status < 200;
@@ -54,7 +59,7 @@
     }
     const auto value = field.substr(at + kName.size());
     const auto seconds = parseWholeNumber(value.substr(0, value.find_first_not_of("0123456789")));
-    return seconds ? std::optional<Duration>(std::chrono::seconds(*seconds)) : std::nullopt;
+    return seconds ? std::optional<Duration>(std::chrono::seconds(std::min(*seconds, kMaxKeepAliveSeconds))) : std::nullopt;
 }
 
 } // namespace
@@ -224,10 +229,30 @@
         m_parser->skip(m_isHeadRequest);
         // An eager parser goes on after a stated length over the limit, and allocates that length.
         m_parser->eager(false);
+        m_isHeadChecked = false;
+        m_head.reset();
         setBodyBytes(0);
         parse();
     }
 
+    /// Checks the head once all of it has arrived. The parser accepts more than the grammar allows.
+    /// @returns false for a malformed head
+    bool checkHead()
+    {
+        const auto bytes = m_buf.data();
+        const std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
+        const auto end = text.find(kHeadEnd);
+        if (m_isHeadChecked || end == std::string_view::npos) {
+            return true;
+        }
+        m_isHeadChecked = true;
+        const auto fault = checkResponseHead(text.substr(0, end + kHeadEnd.size()));
+        if (!fault.empty() && tryTakeDecisionLogToken()) {
+            writeLog(LogLevel::Warning, "malformed answer of the backend server", {{"address", m_address}, {"fault", std::string(fault)}});
+        }
+        return fault.empty();
+    }
+
     void readSome()
     {
         const auto onRead = [self = shared_from_this(), id = m_exchangeId](beast::error_code ec, std::size_t n) {
@@ -254,9 +279,17 @@
     /// chunks and the trailer, which the parser takes only as a whole, are limited like the head.
     void parse()
     {
+        if (!checkHead()) {
+            fail(Outcome::Unknown, Reason::BackendFailed);
+            return;
+        }
         beast::error_code ec;
         while (m_buf.size() > 0 && !m_parser->is_done() && !ec) {
             m_buf.consume(parseBytes(*m_parser, m_buf.data(), ec));
+            if (m_parser->is_header_done() && !m_head) {
+                // The parser adds the fields of a trailer to those of the head, where they could change what the answer means.
+                m_head = makeHead();
+            }
         }
         const bool isWaiting = !ec || ec == http::error::need_more;
         if (!isWaiting || (!m_parser->is_done() && m_buf.size() > m_client->m_options.maxHeaderBytes)) {
@@ -268,6 +301,26 @@
         }
     }
 
+    /// What the head of a response states.
+    struct Head
+    {
+        HttpResponse response;
+        bool isKeptAlive = false;
+        /// The response ends with its connection.
+        bool endsWithConnection = false;
+        std::optional<Duration> keepAliveTimeout;
+    };
+
+    Head makeHead()
+    {
+        auto &message = m_parser->get();
+        const auto field = message[http::field::keep_alive];
+        return {.response = toResponse(message, m_isHeadRequest),
+                .isKeptAlive = message.keep_alive(),
+                .endsWithConnection = message.need_eof(),
+                .keepAliveTimeout = parseKeepAliveTimeout({field.data(), field.size()})};
+    }
+
     /// Records the memory that the body holds.
     /// @returns false when the client ended this exchange because the unfinished bodies together hold too much
     bool setBodyBytes(std::size_t bytes)
@@ -279,21 +332,19 @@
 
     void receive()
     {
-        const auto &message = m_parser->get();
-        if (isInterim(message.result_int())) {
+        if (isInterim(m_head->response.status)) {
             skipInterimAnswer();
             return;
         }
         // Not reused with unread bytes after the response, which belong to no request, or with an unsent rest of the request body, which
         // the backend server would read as the next request.
-        const bool isReusable = message.keep_alive() && !message.need_eof() && m_buf.size() == 0 && m_isRequestWritten;
-        const auto field = message[http::field::keep_alive];
-        m_idleTimeout =
-            parseKeepAliveTimeout({field.data(), field.size()}).value_or(m_client->m_options.idleTimeout + kIdleMargin) - kIdleMargin;
+        const bool canReadNextAnswer = m_head->isKeptAlive && !m_head->endsWithConnection;
+        const bool isReusable = canReadNextAnswer && m_buf.size() == 0 && m_isRequestWritten;
+        m_idleTimeout = m_head->keepAliveTimeout.value_or(m_client->m_options.idleTimeout + kIdleMargin) - kIdleMargin;
         BackendResult result;
         result.outcome = Outcome::Answer;
-        const bool canReadNextAnswer = message.keep_alive() && !message.need_eof();
-        result.response = toResponse(m_parser->get(), m_isHeadRequest);
+        result.response = std::move(m_head->response);
+        result.response.body = std::move(m_parser->get().body());
         if (m_client->m_options.isAnswerTo && !m_client->m_options.isAnswerTo(m_correlation, result.response)) {
             if (!canReadNextAnswer || ++m_mismatchedAnswers > kMaxMismatchedAnswers) {
                 fail(Outcome::Unknown, Reason::BackendFailed);
@@ -315,7 +366,7 @@
     /// Goes on to the response that follows an interim one. This client never asks for another protocol, so 101 is a fault.
     void skipInterimAnswer()
     {
-        if (m_parser->get().result() == http::status::switching_protocols || ++m_interimAnswers > kMaxInterimAnswers) {
+        if (m_head->response.status == kSwitchingProtocols || ++m_interimAnswers > kMaxInterimAnswers) {
             fail(Outcome::Unknown, Reason::BackendFailed);
             return;
         }
@@ -372,6 +423,9 @@
     beast::flat_buffer m_buf;
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    /// Set when the parser has read the head.
+    std::optional<Head> m_head;
+    bool m_isHeadChecked = false;
     std::size_t m_bodyBytes = 0;
     Done m_done;
     std::uint64_t m_exchangeId = 0;
--- a/src/store/dialect_native.cpp
+++ b/src/store/dialect_native.cpp
@@ -12,6 +12,7 @@
 
 using Json = nlohmann::json;
 
+constexpr int kFirstSuccessStatus = 200;
 constexpr int kFirstErrorStatus = 300;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
@@ -127,9 +128,12 @@
 
 std::error_code NativeStore::errorOf(int status, const std::string &body) const
 {
-    if (status < kFirstErrorStatus) {
+    if (status >= kFirstSuccessStatus && status < kFirstErrorStatus) {
         return {};
     }
+    if (status < kFirstSuccessStatus || !isResponseStatus(status)) {
+        return StoreError::Malformed;
+    }
     switch (status) {
     case kNotFound:
         return StoreError::NotFound;
--- a/tests/io_backend_client.cpp
+++ b/tests/io_backend_client.cpp
@@ -227,6 +227,80 @@
     EXPECT_EQ(send("a").outcome, Outcome::Unknown);
 }
 
+// An answer with the status 000 reached the client as an answer; so did lines that continue another one and hide a field there, and bodies
+// in a coding that was dropped with its field.
+TEST_F(BackendClientTest, AnswerWhoseHeadIsMalformedHasUnknownOutcome)
+{
+    const std::string id = "X-Id: a\r\n";
+    const std::string length = "Content-Length: 3\r\n";
+    const auto statusLine = [&](const std::string &it) { return it + "\r\n" + id + length + "\r\nown"; };
+    const auto field = [&](const std::string &it) { return "HTTP/1.1 200 OK\r\nX-A: a\r\n" + it + "\r\n" + id + length + "\r\nown"; };
+    const auto coded = [&](const std::string &it) { return "HTTP/1.1 200 OK\r\n" + id + it + "\r\n\r\n3\r\nown\r\n0\r\n\r\n"; };
+    for (const auto &it : {statusLine("HTTP/1.1 000 OK"),
+                           statusLine("HTTP/1.1 099 OK"),
+                           statusLine("HTTP/1.1 600 OK"),
+                           statusLine("HTTP/1.1 999 OK"),
+                           statusLine("HTTP/1.1 20 OK"),
+                           statusLine("HTTP/1.1 2000 OK"),
+                           statusLine("HTTP/1.1 2x0 OK"),
+                           statusLine("HTTP/1.1  200 OK"),
+                           statusLine("HTTP/2.0 200 OK"),
+                           statusLine("http/1.1 200 OK"),
+                           statusLine("HTTP/1.1 200 O\x01K"),
+                           statusLine(" HTTP/1.1 200 OK"),
+                           field("X Y: 1"),
+                           field("X-Y : 1"),
+                           field(" X-Y: 1"),
+                           field("\tX-Y: 1"),
+                           field("X-\x01Y: 1"),
+                           field("X-\x7FY: 1"),
+                           field("X-\xC3\xA4: 1"),
+                           field(": 1"),
+                           field("X-Y"),
+                           field("X-Y: a\x01"),
+                           field("X-Y: a\x7F"),
+                           field("X-Y: a\rb"),
+                           field("X-Y: a\nZ: b"),
+                           field("Content-Length: 3"),
+                           field("Content-Length: 4"),
+                           field("Transfer-Encoding: chunked"),
+                           coded("Transfer-Encoding: gzip, chunked"),
+                           coded("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"),
+                           coded("Transfer-Encoding : chunked"),
+                           "HTTP/1.1 200 OK\r\n" + id + "Content-Length: +3\r\n\r\nown",
+                           "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 3, 3\r\n\r\nown",
+                           "HTTP/1.1 200 OK\r\n" + id + "Content-Length:\r\n\r\nown",
+                           "HTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n"}) {
+        m_answerBytes = it;
+        const auto result = send("a", {}, 100ms);
+        EXPECT_EQ(result.outcome, Outcome::Unknown) << it;
+        EXPECT_EQ(m_client.connectionCount(), 0U) << it;
+    }
+}
+
+TEST_F(BackendClientTest, HeadThatTheGrammarAllowsIsAccepted)
+{
+    const std::string length = "Content-Length:3\r\n\r\nown";
+    for (const auto &it : {"HTTP/1.1 200 \r\nX-Id:a\r\n" + length, "HTTP/1.1 200 \xC3\xA4 all\tright\r\nX-Id: \ta \t\r\n" + length,
+                           "HTTP/1.1 599 x\r\nX-Id: a\r\nX-Empty:\r\nX-Text: \xC3\xA4 \t\"(1)\"\r\n!#$%&'*+-.^_`|~09aZ: 1\r\n" + length}) {
+        m_answerBytes = it;
+        const auto result = send("a");
+        EXPECT_EQ(result.outcome, Outcome::Answer) << it;
+        EXPECT_EQ(result.response.body, "own") << it;
+    }
+}
+
+// Fields of a trailer were passed on among those of the head, where they could turn a failure into a success.
+TEST_F(BackendClientTest, TrailerDoesNotChangeTheHead)
+{
+    m_answerBytes = "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Name: head\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\nX-Name: "
+                    "trailer\r\nX-Response-Signature: s\r\n\r\n";
+    const auto result = send("a");
+    ASSERT_EQ(result.outcome, Outcome::Answer);
+    EXPECT_EQ(result.response.body, "own");
+    EXPECT_EQ(result.response.headers, (std::vector<HeaderField>{{"X-Id", "a"}, {"X-Name", "head"}}));
+}
+
 TEST_F(BackendClientTest, UnframedAnswerEndsWhenTheConnectionCloses)
 {
     m_answerBytes = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nuntil the end";
--- a/tools/chicoryspar_timeline.cpp
+++ b/tools/chicoryspar_timeline.cpp
@@ -1,13 +1,13 @@
 /// @file
 /// Collects the events of all nodes and prints them as one time line.
 
-#define _TURN_OFF_PLATFORM_STRING
-
 #include <chicoryspar/membership.h>
 #include <chicoryspar/timeline.h>
 
 #include "program/program.h"
+#include "store/http_call.h"
 
+#include <future>
 #include <iostream>
 #include <set>
 
@@ -15,7 +15,6 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/time/time.h>
-#include <cpprest/http_client.h>
 
 ABSL_FLAG(std::vector<std::string>, from, {}, "Operators' ports of nodes to query for members, comma-separated, such as 127.0.0.1:7403.");
 ABSL_FLAG(std::string, service, "", "Print only events of this service.");
@@ -126,37 +125,34 @@
     return query;
 }
 
-/// Sends a GET request. The task returns the body; it throws on a failed connection or a status other than 200.
-pplx::task<std::string> fetch(const std::string &address, const std::string &target, std::chrono::milliseconds timeout)
+/// Sends a GET request and blocks until its end.
+/// @returns the body; nothing after adding a gap, on a failed call or a status other than 200
+std::optional<std::string> fetch(const std::string &address, const std::string &target, std::chrono::milliseconds timeout,
+                                 std::vector<Finding> &gaps)
 {
-    web::http::client::http_client_config config;
-    config.set_timeout(timeout);
-    web::http::client::http_client client("http://" + address, config);
-    return client.request(web::http::methods::GET, target).then([](const web::http::http_response &response) {
-        if (response.status_code() != kStatusOk) {
-            throw web::http::http_exception("status " + std::to_string(response.status_code()));
-        }
-        return response.extract_utf8string(true);
-    });
+    auto answer = runHttpCall({.address = address, .verb = "GET", .target = target, .timeout = timeout});
+    if (answer.end == HttpCallEnd::Answered && answer.status == kStatusOk) {
+        return std::move(answer.body);
+    }
+    const bool isAnswered = answer.end == HttpCallEnd::Answered;
+    gaps.push_back({address, isAnswered ? "status " + std::to_string(answer.status) : std::string(rowOf(answer.end).name)});
+    return std::nullopt;
 }
 
-/// Reads all pages of one node. Runs on a thread of the HTTP library.
+/// Reads all pages of one node. Runs on a thread of its own.
 NodeEvents readEvents(const std::string &address, std::chrono::milliseconds timeout)
 {
     NodeEvents events;
     std::uint64_t after = 0;
-    try {
-        for (int n = 0; n < kMaxPagesPerNode; ++n) {
-            const auto target = "/v1/events?after=" + std::to_string(after) + "&limit=" + std::to_string(kMaxEventsPerPage);
-            auto page = parsePage(fetch(address, target, timeout).get(), events.gaps);
-            if (!page || page->events.empty()) {
-                break;
-            }
-            after = page->next;
-            events.pages.push_back(std::move(*page));
+    for (int n = 0; n < kMaxPagesPerNode; ++n) {
+        const auto target = "/v1/events?after=" + std::to_string(after) + "&limit=" + std::to_string(kMaxEventsPerPage);
+        const auto text = fetch(address, target, timeout, events.gaps);
+        auto page = text ? parsePage(*text, events.gaps) : std::nullopt;
+        if (!page || page->events.empty()) {
+            break;
         }
-    } catch (const std::exception &error) {
-        events.gaps.push_back({address, error.what()});
+        after = page->next;
+        events.pages.push_back(std::move(*page));
     }
     return events;
 }
@@ -165,21 +161,18 @@
 std::set<std::string> readMembers(const std::string &address, std::chrono::milliseconds timeout, std::vector<Finding> &gaps)
 {
     std::set<std::string> addresses;
-    try {
-        const auto members = parseMembers(fetch(address, "/v1/members", timeout).get(), TimePoint(), gaps);
-        for (const auto &it : members.value_or(std::vector<Member>())) {
-            if (it.state == MemberState::Left) {
-                continue;
-            }
-            if (!it.isPresent() || it.info.operators.empty()) {
-                gaps.push_back(
-                    {it.info.name, "expected a running member with an operators' port, got state " + std::string(rowOf(it.state).name)});
-                continue;
-            }
-            addresses.insert(it.info.operators);
+    const auto text = fetch(address, "/v1/members", timeout, gaps);
+    const auto members = text ? parseMembers(*text, TimePoint(), gaps) : std::nullopt;
+    for (const auto &it : members.value_or(std::vector<Member>())) {
+        if (it.state == MemberState::Left) {
+            continue;
+        }
+        if (!it.isPresent() || it.info.operators.empty()) {
+            gaps.push_back(
+                {it.info.name, "expected a running member with an operators' port, got state " + std::string(rowOf(it.state).name)});
+            continue;
         }
-    } catch (const std::exception &error) {
-        gaps.push_back({address, error.what()});
+        addresses.insert(it.info.operators);
     }
     return addresses;
 }
@@ -205,11 +198,11 @@
     const std::vector<std::string> addresses(found.begin(), found.end());
     std::vector<EventPage> pages;
     for (std::size_t begin = 0; begin < addresses.size(); begin += kMaxParallelNodes) {
-        std::vector<pplx::task<NodeEvents>> tasks;
+        std::vector<std::future<NodeEvents>> tasks;
         for (auto n = begin; n < std::min(begin + kMaxParallelNodes, addresses.size()); ++n) {
-            tasks.push_back(pplx::create_task([address = addresses[n], timeout = query.timeout] { return readEvents(address, timeout); }));
+            tasks.push_back(std::async(std::launch::async, &readEvents, addresses[n], query.timeout));
         }
-        for (const auto &it : tasks) {
+        for (auto &it : tasks) {
             auto events = it.get();
             std::move(events.pages.begin(), events.pages.end(), std::back_inserter(pages));
             std::move(events.gaps.begin(), events.gaps.end(), std::back_inserter(gaps));
