HTTP: the head of an answer is looked for once, and calls read 16 KiB at a time

Cause: the check searched each part of a body for the end of a head that had been checked, and the library's read size took 512 bytes a read from the store, where lists have up to a megabyte.

Change: the search ends with the head; reads have a size of their own.

--- a/src/node/gate/backend_client_beast.cpp
+++ b/src/node/gate/backend_client_beast.cpp
@@ -239,10 +239,13 @@
     /// @returns false for a malformed head
     bool checkHead()
     {
+        if (m_isHeadChecked) {
+            return true;
+        }
         const auto bytes = m_buf.data();
         const std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
         const auto end = text.find(kHeadEnd);
-        if (m_isHeadChecked || end == std::string_view::npos) {
+        if (end == std::string_view::npos) {
             return true;
         }
         m_isHeadChecked = true;
--- a/src/store/http_call_beast.cpp
+++ b/src/store/http_call_beast.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
 constexpr std::size_t kMaxBodyBytes = 64 * 1024 * 1024;
-constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr int kHttpVersion = 11;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 /// Characters of a path and query beside letters and digits (RFC 3986), and the sign of bytes that are encoded already.
@@ -112,7 +112,7 @@
     void read()
     {
         m_stream.expires_after(m_request.timeout);
-        m_stream.async_read_some(m_buf.prepare(beast::read_size(m_buf, kReadBytes)),
+        m_stream.async_read_some(m_buf.prepare(std::min(kReadBytes, m_buf.max_size() - m_buf.size())),
                                  [self = shared_from_this()](error_code ec, std::size_t n) { self->onRead(ec, n); });
     }
 
@@ -170,10 +170,13 @@
 
     bool checkHead()
     {
+        if (m_isHeadChecked) {
+            return true;
+        }
         const auto bytes = m_buf.data();
         const std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
         const auto headEnd = text.find(kHeadEnd);
-        if (m_isHeadChecked || headEnd == std::string_view::npos) {
+        if (headEnd == std::string_view::npos) {
             return true;
         }
         m_isHeadChecked = true;
