--- a/review/harness3.py
+++ b/review/harness3.py
@@ -121,6 +121,10 @@
             sock.close()
 
     def close(self):
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes the thread in accept()
+        except OSError:
+            pass
         self.listener.close()
 
 
