--- a/review/15/run.py
+++ b/review/15/run.py
@@ -51,7 +51,7 @@
                 answers[kind].append(result["status"])
             time.sleep(0.1)
 
-    threads = [threading.Thread(target=client, args=("view", n)) for n in range(VIEW_CLIENTS)]
+    threads = [threading.Thread(target=client, args=("view", n), daemon=True) for n in range(VIEW_CLIENTS)]
     for it in threads:
         it.start()
     time.sleep(3)
@@ -59,7 +59,7 @@
         deployment.configure(9, FIRST + ADDED, ["catalogue", "rounds"])
     time.sleep(CONFIG_S + 1)
     for n in range(LOOKUP_CLIENTS):
-        threads.append(threading.Thread(target=client, args=("lookup", n)))
+        threads.append(threading.Thread(target=client, args=("lookup", n), daemon=True))
         threads[-1].start()
     time.sleep(LOAD_S)
     done.set()
--- a/review/harness3.py
+++ b/review/harness3.py
@@ -467,7 +467,9 @@
 
 
 def main(case_folder, run):
-    """Runs a case; run(deployment) returns whether the rule held."""
+    """Runs a case; run(deployment) returns whether the rule held, and what was seen."""
+    # Leaves the deployment's context, which ends the nodes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         if not (ROOT / "target/bin/chicoryspard").exists():
             raise RuntimeError("target/bin/chicoryspard is missing: build the deploy file first")
